--- /dev/null
+++ b/libs/backends/src/zinnia_backends/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers, cold start and replica queues."""
--- /dev/null
+++ b/libs/claims/src/zinnia_claims/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run of a non-repeatable request."""
--- /dev/null
+++ b/libs/facts/src/zinnia_facts/__init__.py
@@ -0,0 +1,1 @@
+"""Mergeable table of soft state shared between VMs."""
--- /dev/null
+++ b/libs/membership/src/zinnia_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Replica ownership, liveness promises and configuration spread."""
--- /dev/null
+++ b/libs/model/src/zinnia_model/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, enums, configuration document and shared message types."""
--- /dev/null
+++ b/libs/model/src/zinnia_model/errors.py
@@ -0,0 +1,61 @@
+"""Typed errors whose messages name the remedy."""
+
+from zinnia_model.reasons import Outcome, Reason
+
+
+class ZinniaError(Exception):
+    """Base of all errors of the query tier."""
+
+
+class RefusedError(ZinniaError):
+    """A request was refused or its outcome is unknown.
+
+    Parameters
+    ----------
+    reason : Reason
+        Label of the refusal.
+    outcome : Outcome
+        ``NOT_RUN`` only if no backend server ran any part of the request.
+    message : str
+        What happened and what the caller can do.
+    """
+
+    def __init__(self, reason: Reason, outcome: Outcome, message: str):
+        super().__init__(message)
+        self.reason = reason
+        self.outcome = outcome
+
+
+class ConflictError(ZinniaError):
+    """A conditional write found another version than the expected one."""
+
+    def __init__(self, message: str, current_version: int):
+        super().__init__(message)
+        self.current_version = current_version
+
+
+class PlatformUnavailableError(ZinniaError):
+    """The platform did not answer or refused; a write may still have taken effect."""
+
+    def __init__(self, message: str, maybe_applied: bool):
+        super().__init__(message)
+        self.maybe_applied = maybe_applied
+
+
+class PlatformBudgetError(PlatformUnavailableError):
+    """The call was held back by the limiter of this VM and never sent."""
+
+    def __init__(self, message: str):
+        super().__init__(message, maybe_applied=False)
+
+
+class SettingsError(ZinniaError):
+    """A settings file is invalid; the message names the file, the key and the remedy."""
+
+
+class NoteError(ZinniaError):
+    """A release note cannot be applied; ``reasons`` lists every cause."""
+
+    def __init__(self, reasons: list[str]):
+        super().__init__("; ".join(reasons))
+        self.reasons = reasons
--- /dev/null
+++ b/libs/model/src/zinnia_model/observations.py
@@ -0,0 +1,41 @@
+"""Observations of backend server behaviour, as evidence for releases."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import Enum
+
+from zinnia_model.ids import Fingerprint, ReplicaId, RouteId, ServiceId, VersionId
+
+
+class ObservedResult(Enum):
+    """How a backend server handled one sub-request."""
+
+    OK = "ok"
+    FAULT = "fault"
+    CRASH = "crash"
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """One settled sub-request as its owner saw it.
+
+    ``cold`` and ``suspect`` mark observations that must not count against a version.
+    """
+
+    service: ServiceId
+    route: RouteId
+    version: VersionId
+    replica: ReplicaId
+    result: ObservedResult
+    fingerprint: Fingerprint
+    service_time_s: float
+    cold: bool = False
+    suspect: bool = False
+
+
+class Observer(ABC):
+    """Receives observations from the dispatcher."""
+
+    @abstractmethod
+    def observe(self, observation: Observation) -> None:
+        """Take one observation; must not block."""
--- /dev/null
+++ b/libs/peers/src/zinnia_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages between daemons."""
--- /dev/null
+++ b/libs/platform/src/zinnia_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform object API."""
--- /dev/null
+++ b/libs/releases/src/zinnia_releases/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes, moves, fault evidence and vetoes."""
--- /dev/null
+++ b/libs/routing/src/zinnia_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Planning, hedging, budgets, admission and merging of queries."""
--- /dev/null
+++ b/libs/standins/src/zinnia_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers."""
--- /dev/null
+++ b/programs/daemon/src/zinniarouterd/__init__.py
@@ -0,0 +1,1 @@
+"""The zinniarouter daemon."""
--- /dev/null
+++ b/programs/measure/src/zinnia_measure/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiment and demo tool."""
--- /dev/null
+++ b/programs/tool/src/zinnia_tool/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
