--- /dev/null
+++ b/programs/daemon/src/zinniarouterd/logs.py
@@ -0,0 +1,33 @@
+"""Structured logs."""
+
+import json
+import sys
+
+from loguru import logger
+
+from zinniarouterd.settings import LogSettings
+
+
+def write_json_line(message) -> None:
+    """Write one log record as a JSON object on one line."""
+    record = message.record
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "logger": record["name"],
+        "event": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    sys.stderr.write(json.dumps(line, default=str) + "\n")
+
+
+def configure_logs(settings: LogSettings, vm: str) -> None:
+    """Send logs to standard error in the format that the settings choose."""
+    logger.remove()
+    if settings.json_lines:
+        logger.add(write_json_line, level=settings.level)
+    else:
+        logger.add(sys.stderr, level=settings.level)
+    logger.configure(extra={"vm": vm})
--- /dev/null
+++ b/programs/daemon/src/zinniarouterd/metrics.py
@@ -0,0 +1,76 @@
+"""Metrics of one daemon."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from zinnia_model.reasons import Outcome, Reason
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+class Metrics:
+    """All metrics, in a registry of their own so that tests can run several daemons."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.queries = self._count("zinnia_requests", "Requests", ["service", "outcome"])
+        self.refusals = self._count("zinnia_refusals", "Refusals", ["reason", "outcome"])
+        self.retries = self._count("zinnia_retries", "Sub-requests sent again", ["reason"])
+        self.hedges = self._count("zinnia_hedges", "Hedged sub-requests", ["reason"])
+        self.subrequests = self._count("zinnia_subrequests", "Sub-requests sent", [])
+        self.needed = self._count("zinnia_subrequests_needed", "Least sub-requests needed", [])
+        self.results = self._count(
+            "zinnia_results", "Settled sub-requests at the owner", ["reason", "outcome"]
+        )
+        self.missing = self._count("zinnia_missing_shards", "Shards missing in answers", [])
+        self.platform_calls = self._count(
+            "zinnia_platform_calls", "Platform calls", ["kind", "verdict"]
+        )
+        self.config_changes = self._count("zinnia_config_adoptions", "Adopted revisions", [])
+        self.vetoes = self._count("zinnia_vetoes", "Vetoes of versions", ["service", "version"])
+        self.latency = Histogram(
+            "zinnia_request_seconds",
+            "Time to answer",
+            ["service"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.revision = self._gauge("zinnia_config_revision", "Configuration revision in force")
+        self.ready = self._gauge("zinnia_ready", "1 when the VM takes requests")
+        self.in_flight = self._gauge("zinnia_requests_in_flight", "Requests in flight")
+        self.owned = self._gauge("zinnia_owned_replicas", "Replicas owned by this VM")
+        self.peer_bytes = Gauge(
+            "zinnia_peer_bytes",
+            "Bytes to and from peers since the start",
+            ["plane", "direction"],
+            registry=self.registry,
+        )
+        for reason in Reason:
+            self.retries.labels(reason.value)
+            for outcome in (Outcome.NOT_RUN, Outcome.UNKNOWN):
+                self.refusals.labels(reason.value, outcome.value)
+
+    def _count(self, name: str, text: str, labels: list[str]) -> Counter:
+        return Counter(name, text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(name, text, registry=self.registry)
+
+    def count_refusal(self, reason: Reason, outcome: Outcome = Outcome.NOT_RUN) -> None:
+        """Count a refused request."""
+        self.refusals.labels(reason.value, outcome.value).inc()
+
+    def count_retry(self, reason: Reason) -> None:
+        """Count a sub-request that is sent again."""
+        self.retries.labels(reason.value).inc()
+
+    def count_hedge(self, reason: Reason) -> None:
+        """Count a hedged sub-request."""
+        self.hedges.labels(reason.value).inc()
+
+    def count_subrequest(self) -> None:
+        """Count a sub-request that is sent."""
+        self.subrequests.inc()
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
