--- /dev/null
+++ b/programs/daemon/src/zinniarouterd/callers.py
@@ -0,0 +1,264 @@
+"""The callers' interface: queries, commands and outcomes."""
+
+import itertools
+import json
+from dataclasses import dataclass
+from urllib.parse import quote, unquote
+
+import trio
+
+from zinnia_claims.claims import Claims, CommandResult
+from zinnia_model.errors import RefusedError
+from zinnia_model.fingerprints import compute_fingerprint
+from zinnia_model.ids import (
+    AttemptId,
+    IdempotencyKey,
+    RequestId,
+    RouteId,
+    ServiceId,
+    ShardId,
+)
+from zinnia_model.queries import Query
+from zinnia_model.reasons import Outcome, Reason
+from zinnia_model.traces import RequestTrace
+from zinnia_routing.execution import QueryExecutor
+from zinnia_routing.topology import Topology
+from zinniarouterd.gate import Gate
+from zinniarouterd.history import TraceHistory
+from zinniarouterd.metrics import Metrics
+from zinniarouterd.requests import (
+    CallerRequest,
+    choose_shard,
+    encode_answer,
+    encode_refusal,
+    parse_request,
+    read_key,
+)
+from zinniarouterd.web import WebRequest, WebResponse, make_json
+
+OUTCOMES_PATH = "/v1/outcomes/"
+
+
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    """A checked request with what the checks found."""
+
+    request: CallerRequest
+    request_id: RequestId
+    repeatable: bool
+    deadline_at: float
+    body: bytes
+    trace: RequestTrace
+
+
+class CallerInterface:
+    """Handles the requests of callers."""
+
+    def __init__(
+        self,
+        id_prefix: str,
+        gate: Gate,
+        topology: Topology,
+        executor: QueryExecutor,
+        claims: Claims,
+        history: TraceHistory,
+        metrics: Metrics,
+        max_deadline_ms: int,
+    ) -> None:
+        self._id_prefix = id_prefix
+        self._numbers = itertools.count(1)
+        self._gate = gate
+        self._topology = topology
+        self._executor = executor
+        self._claims = claims
+        self._history = history
+        self._metrics = metrics
+        self._max_deadline_ms = max_deadline_ms
+
+    async def handle(self, request: WebRequest) -> WebResponse:
+        """Answer one HTTP request."""
+        if request.path == "/v1/query" and request.method == "POST":
+            return await self._serve(request, self._run_query)
+        if request.path == "/v1/command" and request.method == "POST":
+            return await self._serve(request, self._run_command)
+        if request.path.startswith(OUTCOMES_PATH) and request.method == "GET":
+            return await self.look_up_outcome(request.path.removeprefix(OUTCOMES_PATH))
+        if request.path == "/livez":
+            return make_json(200, {"alive": True})
+        if request.path == "/readyz":
+            return self._report_ready()
+        if request.path == "/metrics":
+            return WebResponse(200, self._metrics.render(), b"text/plain; version=0.0.4")
+        return make_json(404, {"message": f"{request.method} {request.path} does not exist."})
+
+    def refuse(self, error: RefusedError) -> WebResponse:
+        """Encode a refusal that happened before a request had an id."""
+        self._metrics.count_refusal(error.reason, error.outcome)
+        return encode_refusal(error, "")
+
+    def _report_ready(self) -> WebResponse:
+        obstacle = self._gate.find_obstacle()
+        reasons = [obstacle.value] if obstacle else []
+        return make_json(503 if reasons else 200, {"ready": not reasons, "reasons": reasons})
+
+    async def _serve(self, web: WebRequest, run) -> WebResponse:
+        """Check, run, count and trace one request; a refusal becomes a typed response."""
+        now = trio.current_time()
+        request_id = RequestId(f"{self._id_prefix}-{next(self._numbers)}")
+        trace = self._history.start(request_id, now)
+        service, outcome_url = "unknown", ""
+        try:
+            with self._gate.admit():
+                arrival = self._check(web, request_id, trace, now)
+                service = arrival.request.service
+                key = read_key(web.headers)
+                outcome_url = make_outcome_url(service, key)
+                response = await run(arrival, key)
+            self._metrics.queries.labels(service, Outcome.ANSWERED.value).inc()
+            self._metrics.latency.labels(service).observe(trio.current_time() - now)
+            trace.add(trio.current_time(), "answered")
+            return response
+        except RefusedError as error:
+            self._metrics.count_refusal(error.reason, error.outcome)
+            self._metrics.queries.labels(service, error.outcome.value).inc()
+            trace.add(trio.current_time(), "refused", f"{error.reason.value}: {error}")
+            return encode_refusal(error, request_id, outcome_url)
+
+    def _check(
+        self, web: WebRequest, request_id: RequestId, trace: RequestTrace, now: float
+    ) -> _Arrival:
+        request = parse_request(web.body, self._max_deadline_ms)
+        trace.add(now, "received", f"{request.service}/{request.route}")
+        config = self._topology.service(ServiceId(request.service))
+        if config is None:
+            raise RefusedError(
+                Reason.UNKNOWN_SERVICE,
+                Outcome.NOT_RUN,
+                f"Service {request.service!r} is not configured; check its name.",
+            )
+        route = config.routes.get(request.route)
+        if route is None:
+            raise RefusedError(
+                Reason.UNKNOWN_ROUTE,
+                Outcome.NOT_RUN,
+                f"Service {request.service!r} has no route {request.route!r}; "
+                f"use one of {sorted(config.routes)}.",
+            )
+        body = json.dumps(request.body, separators=(",", ":")).encode()
+        deadline_at = now + request.deadline_ms / 1000
+        return _Arrival(request, request_id, route.repeatable, deadline_at, body, trace)
+
+    async def _run_query(self, arrival: _Arrival, key: str | None) -> WebResponse:
+        if not arrival.repeatable:
+            raise RefusedError(
+                Reason.BAD_REQUEST,
+                Outcome.NOT_RUN,
+                f"Route {arrival.request.route!r} is not repeatable; use POST /v1/command "
+                "with an Idempotency-Key header.",
+            )
+        query = self._make_query(arrival, None, None)
+        answer = await self._executor.run(query, arrival.trace)
+        self._metrics.needed.inc(answer.coverage.asked)
+        self._metrics.missing.inc(len(answer.coverage.missing))
+        return encode_answer(answer)
+
+    async def _run_command(self, arrival: _Arrival, key: str | None) -> WebResponse:
+        if key is None:
+            raise RefusedError(
+                Reason.KEY_MISSING,
+                Outcome.NOT_RUN,
+                "A command needs an Idempotency-Key header; send one key per intended run.",
+            )
+        query = self._make_query(arrival, IdempotencyKey(key), None)
+        result = await self._claims.run_once(
+            query.service,
+            IdempotencyKey(key),
+            query.fingerprint,
+            arrival.deadline_at,
+            lambda attempt_id: self._send_command(arrival, key, attempt_id),
+        )
+        arrival.trace.add(trio.current_time(), "claim_settled", result.outcome.value)
+        if result.outcome is not Outcome.ANSWERED:
+            raise RefusedError(result.reason or Reason.INTERNAL, result.outcome, result.message)
+        return encode_command(result, arrival.request_id)
+
+    async def _send_command(
+        self, arrival: _Arrival, key: str, attempt_id: AttemptId
+    ) -> CommandResult:
+        """Send a claimed command to one shard; called at most once for each claim."""
+        query = self._make_query(arrival, IdempotencyKey(key), attempt_id)
+        self._metrics.needed.inc()
+        result = await self._executor.run_command(query, arrival.trace)
+        return CommandResult(
+            outcome=result.outcome,
+            reason=result.reason,
+            body=result.body,
+            shard=result.shard,
+            snapshot=result.snapshot,
+            message=describe_command(result.outcome, result.reason),
+        )
+
+    def _make_query(
+        self, arrival: _Arrival, key: IdempotencyKey | None, attempt_id: AttemptId | None
+    ) -> Query:
+        request = arrival.request
+        service, route = ServiceId(request.service), RouteId(request.route)
+        shard = ShardId(request.shard) if request.shard else None
+        if key is not None and shard is None:
+            shard = choose_shard(self._topology.shard_map(service), key)
+        return Query(
+            request_id=arrival.request_id,
+            service=service,
+            route=route,
+            body=arrival.body,
+            deadline_at=arrival.deadline_at,
+            repeatable=arrival.repeatable,
+            fingerprint=compute_fingerprint(service, route, arrival.body),
+            idempotency_key=key,
+            shard=shard,
+            attempt_id=attempt_id,
+        )
+
+    async def look_up_outcome(self, rest: str) -> WebResponse:
+        """Report what is known about an earlier command; ``rest`` is ``service/key``."""
+        service, _, key = rest.partition("/")
+        record = await self._claims.look_up(
+            ServiceId(unquote(service)), IdempotencyKey(unquote(key))
+        )
+        if record is None:
+            return make_json(
+                404,
+                {
+                    "outcome": Outcome.NOT_RUN.value,
+                    "message": "No command with this key was accepted in the last 24 h.",
+                },
+            )
+        return make_json(200, record.model_dump(mode="json"))
+
+
+def make_outcome_url(service: str, key: str | None) -> str:
+    """Return the path where the outcome of a command can be asked for later."""
+    return f"{OUTCOMES_PATH}{quote(service, safe='')}/{quote(key, safe='')}" if key else ""
+
+
+def describe_command(outcome: Outcome, reason: Reason | None) -> str:
+    """Return a message that tells the caller what to do."""
+    if outcome is Outcome.ANSWERED:
+        return "The command ran."
+    label = reason.value if reason else "unknown"
+    if outcome is Outcome.NOT_RUN:
+        return f"The command was not run ({label}); send it again with the same key."
+    return f"It is unknown whether the command ran ({label}); ask for its outcome by its key."
+
+
+def encode_command(result: CommandResult, request_id: RequestId) -> WebResponse:
+    """Return the answer of a command; its body is JSON already."""
+    head = json.dumps(
+        {
+            "request_id": request_id,
+            "outcome": Outcome.ANSWERED.value,
+            "snapshot": result.snapshot,
+            "shard": result.shard,
+        }
+    ).encode()
+    return WebResponse(200, head[:-1] + b',"result":' + (result.body or b"null") + b"}")
--- /dev/null
+++ b/programs/daemon/src/zinniarouterd/driver.py
@@ -0,0 +1,113 @@
+"""Drives moves: pools evidence, raises vetoes and writes the next state of each move."""
+
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+
+from zinnia_facts.table import Fact
+from zinnia_model.configuration import ConfigDocument, MoveRecord, MoveState
+from zinnia_model.errors import ConflictError, PlatformUnavailableError
+from zinnia_releases.evidence import FaultEvidence
+from zinnia_releases.moves import advance
+from zinnia_releases.vetoes import VetoRaiser
+from zinniarouterd.metrics import Metrics
+from zinniarouterd.topology import LiveTopology
+from zinniarouterd.writer import ConfigWriter
+
+REVIEW_INTERVAL_S = 0.25
+# Ranks after the first wait this long for the driver before them, so that usually one VM writes.
+DRIVER_PATIENCE_S = 2.0
+
+
+class MoveDriver:
+    """One loop per VM. Every VM raises vetoes; the ranked members write moves forward.
+
+    Parameters
+    ----------
+    rank : callable
+        Position of this VM among the live members, 0 for the driver, None without a seat.
+    """
+
+    def __init__(
+        self,
+        read_document: Callable[[], ConfigDocument | None],
+        topology: LiveTopology,
+        evidence: FaultEvidence,
+        raiser: VetoRaiser,
+        writer: ConfigWriter,
+        push: Callable[[list[Fact]], None],
+        rank: Callable[[float], int | None],
+        is_ready: Callable[[], bool],
+        wall_ms: Callable[[], int],
+        metrics: Metrics,
+    ) -> None:
+        self._read_document = read_document
+        self._topology = topology
+        self._evidence = evidence
+        self._raiser = raiser
+        self._writer = writer
+        self._push = push
+        self._rank = rank
+        self._is_ready = is_ready
+        self._wall_ms = wall_ms
+        self._metrics = metrics
+        self._due_since: float | None = None
+
+    async def run(self) -> None:
+        """Review all moves until cancelled."""
+        while True:
+            await trio.sleep(REVIEW_INTERVAL_S)
+            document = self._read_document()
+            if document is not None:
+                self._raise_vetoes(document)
+                await self._advance(document)
+
+    def _raise_vetoes(self, document: ConfigDocument) -> None:
+        now = trio.current_time()
+        self._evidence.publish(now)
+        if not any(move.state is MoveState.RAMPING for move in document.moves.values()):
+            return
+        pooled = self._evidence.pool(now)
+        ready = self._is_ready()
+        facts = self._raiser.review(document, pooled, self._wall_ms(), now, ready)
+        for fact in facts:
+            logger.bind(subject=fact.subject, cause=fact.value).warning("version_vetoed")
+            service, version, _ = fact.subject.split("/", 2)
+            self._metrics.vetoes.labels(service, version).inc()
+        if facts:
+            self._push(facts)
+
+    async def _advance(self, document: ConfigDocument) -> None:
+        now = trio.current_time()
+        if self._propose(document) is None:
+            self._due_since = None
+            return
+        rank = self._rank(now)
+        self._due_since = now if self._due_since is None else self._due_since
+        if rank is None or now - self._due_since < rank * DRIVER_PATIENCE_S:
+            return
+        try:
+            before = document.moves
+            after = await self._writer.change(self._propose)
+            log_moves(before, after.moves)
+        except ConflictError:
+            logger.debug("another driver was first")
+        except PlatformUnavailableError as error:
+            logger.bind(error=str(error)).info("moves_wait_for_platform")
+            await trio.sleep(1.0)
+
+    def _propose(self, document: ConfigDocument) -> ConfigDocument | None:
+        """Return the next revision by the rules of moves, or None."""
+        pooled = self._evidence.pool(trio.current_time())
+        return advance(document, self._wall_ms(), pooled, self._topology.vetoes())
+
+
+def log_moves(before: dict[str, MoveRecord], after: dict[str, MoveRecord]) -> None:
+    """Log each change of state of a move with its cause."""
+    for name, move in after.items():
+        old = before.get(name)
+        if old is None or (old.state, old.step) != (move.state, move.step):
+            logger.bind(
+                move=name, state=move.state.value, step=move.step, cause=move.cause
+            ).info("move_changed")
--- /dev/null
+++ b/programs/daemon/src/zinniarouterd/gate.py
@@ -0,0 +1,79 @@
+"""Decides whether the VM takes requests, and counts those in flight for a graceful shutdown."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import trio
+
+from zinnia_model.errors import RefusedError
+from zinnia_model.reasons import Outcome, Reason
+
+REMEDIES = {
+    Reason.NO_CONFIGURATION: "No configuration is known yet; apply one with zinnia or retry later.",
+    Reason.NO_MAJORITY: "This VM cannot reach a majority of its peers; send to another VM.",
+    Reason.SHUTTING_DOWN: "This VM is shutting down; send to another VM.",
+    Reason.DATA_CENTRE_OUT: "The data centre of this VM is out; send to a VM in another one.",
+}
+
+
+class Gate:
+    """Admits requests while the VM is in service.
+
+    Parameters
+    ----------
+    find_obstacle : callable
+        Returns the reason why this VM may not serve now, or None.
+    """
+
+    def __init__(self, find_obstacle: Callable[[], Reason | None]) -> None:
+        self._find_obstacle = find_obstacle
+        self._in_flight = 0
+        self._idle = trio.Event()
+        self._idle.set()
+        self._closing = False
+        self._closed = False
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that were admitted and are not finished."""
+        return self._in_flight
+
+    def find_obstacle(self) -> Reason | None:
+        """Return the reason why the VM is not ready, or None."""
+        return Reason.SHUTTING_DOWN if self._closing else self._find_obstacle()
+
+    def announce_shutdown(self) -> None:
+        """Fail readiness; requests are still admitted so that the balancer can notice."""
+        self._closing = True
+
+    def close(self) -> None:
+        """Admit nothing more."""
+        self._closing = True
+        self._closed = True
+
+    @contextmanager
+    def admit(self) -> Iterator[None]:
+        """Count one request as in flight.
+
+        Raises
+        ------
+        RefusedError
+            If the VM may not serve; nothing was run.
+        """
+        obstacle = Reason.SHUTTING_DOWN if self._closed else self._find_obstacle()
+        if obstacle is not None:
+            raise RefusedError(obstacle, Outcome.NOT_RUN, REMEDIES[obstacle])
+        self._in_flight += 1
+        if self._in_flight == 1:
+            self._idle = trio.Event()
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+            if self._in_flight == 0:
+                self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in flight."""
+        while self._in_flight:
+            await self._idle.wait()
--- a/programs/daemon/src/zinniarouterd/requests.py
+++ b/programs/daemon/src/zinniarouterd/requests.py
@@ -3,11 +3,14 @@
 import json
 from typing import Annotated, Any
 
+import xxhash
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
 
 from zinnia_model.errors import RefusedError
+from zinnia_model.ids import ShardId
 from zinnia_model.queries import Answer
 from zinnia_model.reasons import Outcome, Reason
+from zinnia_model.shardmaps import ShardMap
 from zinniarouterd.web import WebResponse, make_json
 
 Identifier = Annotated[str, StringConstraints(min_length=1, max_length=200)]
@@ -75,6 +78,14 @@
     return key or None
 
 
+def choose_shard(shard_map: ShardMap | None, key: str) -> ShardId | None:
+    """Return the shard that runs commands with this key, the same on every VM."""
+    if shard_map is None or not shard_map.shards:
+        return None
+    shards = sorted(shard_map.shards)
+    return ShardId(shards[xxhash.xxh3_64_intdigest(key) % len(shards)])
+
+
 def encode_answer(answer: Answer) -> WebResponse:
     """Return a query's answer; the shards' bodies are JSON already and are not decoded again."""
     head = json.dumps(
--- /dev/null
+++ b/programs/daemon/src/zinniarouterd/topology.py
@@ -0,0 +1,233 @@
+"""What the planner and the dispatcher see of the fleet, answered from memory."""
+
+import time
+from collections.abc import Callable, Mapping
+
+import trio
+
+from zinnia_backends.crashes import CrashRegistry, CrashStatus
+from zinnia_facts.table import Cursor, FactKind, FactTable
+from zinnia_model.configuration import (
+    ConfigDocument,
+    DataCentreState,
+    MoveState,
+    ServiceConfig,
+)
+from zinnia_model.ids import (
+    DataCentreId,
+    Fingerprint,
+    MoveId,
+    ReplicaId,
+    ServiceId,
+    VersionId,
+    VmId,
+)
+from zinnia_model.reasons import Reason
+from zinnia_model.replicas import ReplicaFact
+from zinnia_model.shardmaps import ReplicaRecord, ShardMap
+from zinnia_model.subrequests import ReplicaView
+from zinnia_releases.changes import is_version_move
+from zinnia_releases.moves import effective_shares, find_take_back
+from zinnia_releases.vetoes import Veto, collect_vetoes
+from zinnia_routing.topology import Topology
+from zinniarouterd.maps import ShardMaps
+
+RETURN_RAMP_S = 10.0
+RETURN_FIRST_WEIGHT = 0.1
+# Shares change with vetoes and named hours; a promise of 3 s leaves room for this age.
+SHARES_AGE_S = 0.1
+
+
+def read_wall_ms() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return int(time.time() * 1000)
+
+
+class ReplicaViews:
+    """The last report of the owner of each replica, read from facts."""
+
+    def __init__(self, facts: FactTable) -> None:
+        self._facts = facts
+        self._cursor = Cursor(0)
+        self._versions: dict[ReplicaId, int] = {}
+        self._views: dict[ReplicaId, tuple[float, ReplicaView]] = {}
+
+    def get(self, replica: ReplicaId, now: float) -> ReplicaView | None:
+        """Return the view of a replica, None once the report has expired."""
+        if self._facts.cursor != self._cursor:
+            self._read_changes(now)
+        expires_at, view = self._views.get(replica, (0.0, None))
+        return view if expires_at > now else None
+
+    def _read_changes(self, now: float) -> None:
+        changes, self._cursor = self._facts.changes_since(self._cursor, now)
+        for fact in changes:
+            replica = ReplicaId(fact.subject)
+            if fact.kind is not FactKind.REPLICA_STATE:
+                continue
+            if fact.version < self._versions.get(replica, 0):
+                continue
+            self._versions[replica] = fact.version
+            state = ReplicaFact.model_validate_json(fact.value)
+            self._views[replica] = (now + fact.ttl_s, make_view(state))
+
+
+def make_view(state: ReplicaFact) -> ReplicaView:
+    """Return the planner's view of a published state."""
+    return ReplicaView(
+        replica=ReplicaId(state.replica),
+        cold=state.cold,
+        draining=state.draining,
+        queue_length=state.queue_length,
+        in_flight=state.in_flight,
+        limit=state.limit,
+        start_id=state.start_id,
+        version=VersionId(state.version),
+    )
+
+
+class LiveTopology(Topology):
+    """Joins configuration, shard maps, ownership and facts.
+
+    Parameters
+    ----------
+    read_document : callable
+        Returns the configuration in force, or None.
+    find_owner : callable
+        Returns the owner of a replica at a time of the runtime's clock.
+    leaving : callable
+        Tells whether the platform's list says that an address is leaving.
+    """
+
+    def __init__(
+        self,
+        read_document: Callable[[], ConfigDocument | None],
+        maps: ShardMaps,
+        facts: FactTable,
+        find_owner: Callable[[ReplicaId, float], VmId | None],
+        leaving: Callable[[str], bool],
+        wall_ms: Callable[[], int] = read_wall_ms,
+    ) -> None:
+        self._read_document = read_document
+        self._maps = maps
+        self._facts = facts
+        self._find_owner = find_owner
+        self._leaving = leaving
+        self._wall_ms = wall_ms
+        self._views = ReplicaViews(facts)
+        self._shares: dict[ServiceId, tuple[float, dict[VersionId, float]]] = {}
+        self._vetoes: tuple[Cursor, Mapping[MoveId, Veto]] = (Cursor(-1), {})
+
+    def service(self, service: ServiceId) -> ServiceConfig | None:
+        """Return the configuration of a service, None if it is unknown."""
+        document = self._read_document()
+        return document.services.get(service) if document else None
+
+    def shard_map(self, service: ServiceId) -> ShardMap | None:
+        """Return the newest known shard map of a service."""
+        return self._maps.get(service)
+
+    def owner(self, replica: ReplicaId) -> VmId | None:
+        """Return the VM that sends to a replica, None while no VM may."""
+        return self._find_owner(replica, trio.current_time())
+
+    def view(self, replica: ReplicaId) -> ReplicaView | None:
+        """Return the last report of the owner of a replica."""
+        return self._views.get(replica, trio.current_time())
+
+    def data_centre_weight(self, data_centre: DataCentreId, now: float) -> float:
+        """Return 0 for a data centre that is out, rising from 0.1 to 1 in 10 s after its return."""
+        document = self._read_document()
+        config = document.data_centres.get(data_centre) if document else None
+        if config is None:
+            return 1.0
+        if config.state is DataCentreState.OUT:
+            return 0.0
+        age_s = (self._wall_ms() - config.since_ms) / 1000
+        if config.since_ms == 0 or age_s >= RETURN_RAMP_S:
+            return 1.0
+        ramp = (1 - RETURN_FIRST_WEIGHT) * max(0.0, age_s) / RETURN_RAMP_S
+        return RETURN_FIRST_WEIGHT + ramp
+
+    def vetoes(self) -> Mapping[MoveId, Veto]:
+        """Return the vetoes that this VM knows."""
+        if self._vetoes[0] != self._facts.cursor:
+            now = trio.current_time()
+            self._vetoes = (self._facts.cursor, collect_vetoes(self._facts, now))
+            self._shares.clear()
+        return self._vetoes[1]
+
+    def forget_shares(self) -> None:
+        """Drop cached shares after a change of configuration."""
+        self._shares.clear()
+
+    def shares(self, service: ServiceId, now: float) -> dict[VersionId, float]:
+        """Return the effective share of each version after vetoes and named hours."""
+        vetoes = self.vetoes()
+        cached = self._shares.get(service)
+        if cached is not None and now - cached[0] < SHARES_AGE_S:
+            return cached[1]
+        document = self._read_document()
+        if document is None:
+            return {}
+        shares = effective_shares(service, document, vetoes, self._wall_ms())
+        self._shares[service] = (now, shares)
+        return shares
+
+    def base_version(self, service: ServiceId, now: float) -> VersionId | None:
+        """Return the old version while a move is under way, so that the new one stays bounded."""
+        document = self._read_document()
+        for move in document.moves.values() if document else ():
+            if move.subject == service and move.state is MoveState.RAMPING and is_version_move(move):
+                return VersionId(move.from_version)
+        return super().base_version(service, now)
+
+    def find_block(self, record: ReplicaRecord) -> Reason | None:
+        """Return why a replica must get no new work, or None."""
+        if self.data_centre_weight(DataCentreId(record.data_centre), 0.0) == 0.0:
+            return Reason.DATA_CENTRE_OUT
+        if self._leaving(record.address):
+            return Reason.DRAINING
+        service = self._maps.find_service(ReplicaId(record.id))
+        if service is not None and self._is_version_out(service, record.version):
+            return Reason.VERSION_OUT
+        return None
+
+    def _is_version_out(self, service: ServiceId, version: str) -> bool:
+        """Return whether a version is withdrawn, or its move is vetoed or past its hour."""
+        document = self._read_document()
+        config = document.services.get(service) if document else None
+        if config is None:
+            return False
+        if version not in config.versions:
+            return True
+        vetoes = self.vetoes()
+        moves = [m for m in document.moves.values() if m.to_version == version]
+        if not any(m.subject == service and is_version_move(m) for m in moves):
+            return False
+        if self.shares(service, trio.current_time()).get(VersionId(version), 0.0) > 0.0:
+            return False
+        wall_ms = self._wall_ms()
+        return any(
+            move.subject == service
+            and (
+                move.state is MoveState.TAKEN_BACK
+                or find_take_back(move, document, vetoes, wall_ms)
+            )
+            for move in moves
+        )
+
+
+def make_refusal_check(
+    crashes: CrashRegistry,
+) -> tuple[Callable[[Fingerprint], Reason | None], Callable[[Fingerprint], bool]]:
+    """Return the planner's checks for requests that crash backend servers."""
+
+    def refuse_check(fingerprint: Fingerprint) -> Reason | None:
+        status = crashes.status(fingerprint, trio.current_time())
+        return Reason.CRASHES_BACKENDS if status is CrashStatus.REFUSED else None
+
+    def is_suspect(fingerprint: Fingerprint) -> bool:
+        return crashes.status(fingerprint, trio.current_time()) is CrashStatus.SUSPECT
+
+    return refuse_check, is_suspect
