--- a/libs/platform/src/zinnia_platform/http.py
+++ b/libs/platform/src/zinnia_platform/http.py
@@ -1,5 +1,8 @@
 """HTTP client of the platform's object API."""
 
+# The method ``list`` hides the builtin from annotations that are evaluated in the class.
+from __future__ import annotations
+
 import json
 from dataclasses import dataclass
 from typing import Self
--- a/libs/platform/src/zinnia_platform/store.py
+++ b/libs/platform/src/zinnia_platform/store.py
@@ -1,5 +1,8 @@
 """The platform's object API as the query tier uses it."""
 
+# The method ``list`` hides the builtin from annotations that are evaluated in the class.
+from __future__ import annotations
+
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
--- /dev/null
+++ b/libs/platform/tests/test_writes.py
@@ -0,0 +1,76 @@
+import unittest
+
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from zinnia_platform.writes import WriteEffect, WriteResult, put_with_read_back
+from zinnia_standins.platform_core import PlatformCore, Write
+from zinnia_standins.platform_store import FakeObjectStore
+
+
+def run_write(core: PlatformCore, if_version: int = 0, during=None) -> WriteResult:
+    async def main() -> WriteResult:
+        results = []
+        async with trio.open_nursery() as nursery:
+            if during is not None:
+                nursery.start_soon(during)
+            results.append(
+                await put_with_read_back(
+                    FakeObjectStore(core),
+                    "config",
+                    "a",
+                    {"id": "mine"},
+                    if_version,
+                    lambda value: value["id"] == "mine",
+                    trio.current_time() + 3.0,
+                )
+            )
+        return results[0]
+
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class PutWithReadBackTest(unittest.TestCase):
+    def test_lost_reply_of_an_effective_write_is_recognised(self):
+        core = PlatformCore()
+        core.set_faults({"lose_replies": 1})
+        result = run_write(core)
+        self.assertEqual((WriteEffect.TOOK_EFFECT, 1), (result.effect, result.version))
+
+    def test_conflict_and_refusal_are_not_mistaken_for_an_effect(self):
+        core = PlatformCore()
+        core.apply(Write("config", "a", {"id": "other"}, 0))
+        self.assertIs(WriteEffect.DID_NOT, run_write(core).effect)
+        core.set_faults({"outage": True})
+        self.assertIs(WriteEffect.DID_NOT, run_write(core, 1).effect)
+
+    def test_silent_platform_leaves_the_effect_unknown(self):
+        core = PlatformCore()
+        core.set_faults({"silent": True})
+        self.assertIs(WriteEffect.CANNOT_TELL, run_write(core).effect)
+
+    def test_lost_reply_after_another_write_is_overtaken(self):
+        core = PlatformCore()
+        core.set_faults({"lose_replies": 1, "late_write_s": 60})
+
+        async def write_other() -> None:
+            await trio.sleep(0.01)
+            core.apply(Write("config", "a", {"id": "other"}, 0))
+
+        self.assertIs(WriteEffect.OVERTAKEN, run_write(core, during=write_other).effect)
+
+    @given(st.floats(0, 10), st.integers(1, 5))
+    def test_late_write_does_not_take_effect_after_a_settled_result(self, late_s, lost):
+        core = PlatformCore()
+        core.set_faults({"lose_replies": lost, "late_write_s": late_s})
+        result = run_write(core)
+        before = core.get("config", "a")
+        core.apply_due(1e9)
+        if result.effect is not WriteEffect.CANNOT_TELL:
+            self.assertEqual((before, before.version), (core.get("config", "a"), result.version))
+
+
+if __name__ == "__main__":
+    unittest.main()
