Routing: plan, shares, budgets, admission, merge and execution of queries

Change: pure modules for shares, latency, budget, admission, merge and replica choice; QueryRun and CommandRun, which sleep on one event with one timer; two baselines behind ReplicaChoice. Alternatives ruled out: a task per sub-request (processor time per sub-request is the first limit on size); float credits for shares (their sums can exceed the bound by rounding).

--- /dev/null
+++ b/libs/routing/src/zinnia_routing/choice.py
@@ -0,0 +1,81 @@
+"""How a replica is chosen and when a slow sub-request is sent again."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from zinnia_model.ids import ReplicaId
+from zinnia_model.subrequests import ReplicaView
+from zinnia_routing.latency import Quantiles
+
+SHORTEST_HEDGE_DELAY_S = 0.003
+# With 1 in 50 sub-requests slow, 2 in 2,500 have a slow hedge too; at a fan-out of 50 that is 1 in
+# 50 queries, so p99 needs a second hedge where the shard has a third replica.
+MAX_HEDGES = 2  # per shard
+MAX_RETRIES = 2  # per shard
+# A cold replica ranks behind every warm one with a free slot. When all warm ones queue it gets
+# work, otherwise it could never collect the good answers that end its cold start.
+COLD_PENALTY = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ResendRule:
+    """When a sub-request without an answer is sent to another replica.
+
+    ``after_s`` is its age in seconds. ``replace`` cancels the first attempt, ``charge`` draws on
+    the budget for hedges and retries.
+    """
+
+    after_s: float
+    limit: int = MAX_HEDGES
+    replace: bool = False
+    charge: bool = True
+
+
+class ReplicaChoice(ABC):
+    """Ranks replicas; the one with the lowest score is chosen, ties are broken by random."""
+
+    max_retries = MAX_RETRIES
+
+    @abstractmethod
+    def score(self, replica: ReplicaId, view: ReplicaView | None, outstanding: int) -> float:
+        """Return the score of a usable replica, between 0 and 1e5.
+
+        ``outstanding`` counts the unanswered sub-requests that this VM sent to the replica.
+        """
+
+    @abstractmethod
+    def find_resend_rule(self, quantiles: Quantiles | None, is_low: bool) -> ResendRule | None:
+        """Return when slow sub-requests are sent again, None for never.
+
+        ``quantiles`` is None before there are enough samples; ``is_low`` tells that the budget is
+        nearly spent.
+        """
+
+    def note_sent(self, replica: ReplicaId) -> None:  # noqa: B027
+        """Take note that a replica was chosen."""
+
+
+class LoadAwareChoice(ReplicaChoice):
+    """Lowest (queue + in flight) / limit, with hedges after p96.
+
+    The report of the owner lags, so the sub-requests that this VM has outstanding count as well.
+    """
+
+    def score(self, replica: ReplicaId, view: ReplicaView | None, outstanding: int) -> float:
+        """Return the load of the replica, with a penalty while it is cold or not known."""
+        if view is None:
+            return COLD_PENALTY + outstanding
+        reported = view.queue_length + view.in_flight
+        load = (reported if reported > outstanding else outstanding) / (view.limit or 1)
+        return load + COLD_PENALTY if view.cold else load
+
+    def find_resend_rule(self, quantiles: Quantiles | None, is_low: bool) -> ResendRule | None:
+        """Hedge after p96, or after p97 while the budget is nearly spent.
+
+        4% of the sub-requests are older than p96, which is all that the budget earns; p97 leaves
+        tokens for those that are really slow.
+        """
+        if quantiles is None:
+            return None
+        age_s = quantiles.p97 if is_low else quantiles.p96
+        return ResendRule(max(SHORTEST_HEDGE_DELAY_S, age_s))
--- /dev/null
+++ b/libs/routing/tests/test_execution.py
@@ -0,0 +1,181 @@
+import unittest
+
+import trio
+import trio.testing
+from fakes import Harness, answer, fail, make_map
+
+from zinnia_model.errors import RefusedError
+from zinnia_model.queries import Coverage
+from zinnia_model.reasons import Outcome, Reason
+from zinnia_model.traces import RequestTrace
+
+
+class ExecutorTest(unittest.TestCase):
+    def run_query(self, handle, prepare=lambda harness: None, deadline_s=1.0, **options):
+        """Run one query; keep harness, trace and time taken; return the answer or the refusal."""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                self.harness = Harness(nursery, handle, **options)
+                prepare(self.harness)
+                started = trio.current_time()
+                self.trace = RequestTrace("q1", started)
+                try:
+                    query = self.harness.query(deadline_s)
+                    return await self.harness.executor.run(query, self.trace)
+                except RefusedError as error:
+                    return error
+                finally:
+                    self.took_s = trio.current_time() - started
+                    nursery.cancel_scope.cancel()
+
+        answer_or_error = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual({}, self.harness.executor.context.outstanding)
+        return answer_or_error
+
+    def list_events(self, event):
+        return [e.detail for e in self.trace.events if e.event == event]
+
+    def test_one_batch_for_each_owner_and_full_coverage(self):
+        """Guards against a message per sub-request, and against lost bodies."""
+        sealed = self.run_query(lambda item, batch: (0.01, answer(item, batch)))
+        self.assertEqual(Coverage(4, 4), sealed.coverage)
+        self.assertEqual({s: s.encode() for s in "0123"}, sealed.results)
+        owners = {self.harness.topology.owners[i.replica] for i in self.harness.owners.items}
+        self.assertEqual(len(owners), len(self.harness.owners.batches))
+
+    def test_answers_before_deadline_with_partial_coverage(self):
+        """Guards against a silent shard making the whole answer late or its coverage untrue."""
+        sealed = self.run_query(
+            lambda item, batch: None if item.shard == "2" else (0.01, answer(item, batch))
+        )
+        self.assertEqual(Coverage(3, 4, ("2",)), sealed.coverage)
+        self.assertLess(self.took_s, 1.0)
+        self.assertEqual(1, len(self.harness.owners.cancelled))
+
+    def test_slow_shard_is_hedged_and_the_loser_cancelled(self):
+        """Guards against waiting for a straggler, and against extra work that nobody reads."""
+        slow = []
+
+        def handle(item, batch):
+            if item.shard == "1" and not slow:
+                slow.append(item.attempt_id)
+                return 0.9, answer(item, batch)
+            return 0.005, answer(item, batch)
+
+        sealed = self.run_query(handle, Harness.warm_up)
+        self.assertEqual(Coverage(4, 4), sealed.coverage)
+        self.assertLess(self.took_s, 0.02)
+        self.assertEqual(slow, self.harness.owners.cancelled)
+        self.assertEqual({Reason.STRAGGLER: 1}, self.harness.counters.hedges)
+        self.assertEqual(1, len(self.list_events("hedge")))
+
+    def test_no_hedge_to_queue_cold_replica_or_for_suspect(self):
+        """Guards against hedges that add load where it hurts."""
+        for name, prepare in {
+            "queue": lambda h: [
+                h.topology.change_view(r, queue_length=1) for r in h.topology.views
+            ],
+            "cold": lambda h: [h.topology.change_view(r, cold=True) for r in h.topology.views],
+            "suspect": lambda h: h.suspects.add("f"),
+        }.items():
+            with self.subTest(name):
+                self.run_query(
+                    lambda item, batch: (0.5, answer(item, batch)),
+                    lambda harness, prepare=prepare: (harness.warm_up(), prepare(harness)),
+                )
+                self.assertEqual({}, self.harness.counters.hedges)
+
+    def test_lost_owner_is_replaced_without_drawing_on_the_budget(self):
+        """Guards against lost coverage while the ownership of many replicas changes."""
+
+        def handle(item, batch):
+            self.harness.topology.owners = dict.fromkeys(self.harness.topology.owners, "vm9")
+            first = len(self.harness.owners.items) <= 30
+            return 0.01, fail(item, Reason.NOT_OWNER) if first else answer(item, batch)
+
+        sealed = self.run_query(handle, shard_map=make_map(30, replicas=1))
+        self.assertEqual(Coverage(30, 30), sealed.coverage)
+        self.assertEqual({Reason.NOT_OWNER: 30}, self.harness.counters.retries)
+
+    def test_fault_is_retried_elsewhere_at_most_twice(self):
+        """Guards against endless retries and against a retry on the replica that failed."""
+        refused = self.run_query(
+            lambda item, batch: (0.01, fail(item, Reason.BACKEND_FAULT, Outcome.UNKNOWN)),
+            shard_map=make_map(1, replicas=5),
+        )
+        self.assertEqual((Outcome.UNKNOWN, Reason.BACKEND_FAULT), (refused.outcome, refused.reason))
+        replicas = [item.replica for item in self.harness.owners.items]
+        self.assertEqual((3, 3), (len(replicas), len(set(replicas))))
+
+    def test_not_run_only_if_no_attempt_may_have_run(self):
+        """Guards against an untrue NOT_RUN."""
+        refused = self.run_query(lambda item, batch: (0.01, fail(item, Reason.QUEUE_FULL)))
+        self.assertEqual((Outcome.NOT_RUN, Reason.QUEUE_FULL), (refused.outcome, refused.reason))
+        refused = self.run_query(
+            lambda item, batch: None if item.shard == "0" else (0.01, fail(item, Reason.COLD))
+        )
+        self.assertEqual((Outcome.UNKNOWN, Reason.DEADLINE), (refused.outcome, refused.reason))
+        self.assertEqual(["deadline unknown"], self.list_events("refused"))
+
+    def test_crash_makes_the_query_wait_and_then_be_refused(self):
+        """Guards against an immediate retry that crashes a second backend server."""
+
+        def handle(item, batch):
+            self.harness.refusal = Reason.CRASHES_BACKENDS
+            return 0.01, fail(item, Reason.BACKEND_CRASHED, Outcome.UNKNOWN)
+
+        refused = self.run_query(handle, shard_map=make_map(1))
+        self.assertEqual(
+            (Outcome.UNKNOWN, Reason.CRASHES_BACKENDS), (refused.outcome, refused.reason)
+        )
+        self.assertEqual(1, len(self.harness.owners.items))
+
+    def test_snapshot_gone_plans_all_shards_again(self):
+        """Guards against an answer that mixes bodies of two snapshots."""
+
+        def handle(item, batch):
+            if batch.snapshot == "s1" and item.shard == "3":
+                self.harness.topology.map = make_map(4, snapshot="s2")
+                return 0.02, fail(item, Reason.SNAPSHOT_GONE)
+            return 0.01, answer(item, batch, body=batch.snapshot.encode())
+
+        sealed = self.run_query(handle)
+        self.assertEqual(("s2", {b"s2"}), (sealed.snapshot, set(sealed.results.values())))
+        self.assertEqual(Coverage(4, 4), sealed.coverage)
+        self.assertEqual(["s2"], self.list_events("replan"))
+
+    def test_replans_are_bounded_and_the_loss_is_reported(self):
+        """Guards against replanning until the deadline while snapshots keep changing."""
+
+        def handle(item, batch):
+            number = int(batch.snapshot[1:]) + 1
+            self.harness.topology.map = make_map(4, snapshot=f"s{number}")
+            gone = item.shard == "3"
+            return 0.01, fail(item, Reason.SNAPSHOT_GONE) if gone else answer(item, batch)
+
+        sealed = self.run_query(handle)
+        self.assertEqual(Coverage(3, 4, ("3",)), sealed.coverage)
+        self.assertEqual({"s1", "s2", "s3"}, {b.snapshot for b in self.harness.owners.batches})
+
+    def test_crossed_answer_is_dropped_and_the_shard_asked_again(self):
+        """Guards against the body of another shard in the answer."""
+
+        def handle(item, batch):
+            crossed = len(self.harness.owners.items) == 1
+            return 0.01, answer(item, batch, **({"snapshot": "s0"} if crossed else {}))
+
+        sealed = self.run_query(handle)
+        self.assertEqual(Coverage(4, 4), sealed.coverage)
+        self.assertEqual({Reason.BACKEND_MISMATCH: 1}, self.harness.counters.retries)
+
+    def test_queries_beyond_the_limit_are_refused_before_they_run(self):
+        """Guards against overload being passed on to the backend servers."""
+
+        def fill(harness):
+            harness.executor.context.admissions["tunes"].limit = 0
+
+        refused = self.run_query(lambda item, batch: None, fill)
+        self.assertEqual((Outcome.NOT_RUN, Reason.OVERLOADED), (refused.outcome, refused.reason))
+        self.assertEqual([], self.harness.owners.items)
+        self.assertEqual({Reason.OVERLOADED: 1}, self.harness.counters.refusals)
--- /dev/null
+++ b/libs/routing/tests/test_plan.py
@@ -0,0 +1,84 @@
+import unittest
+from collections import Counter
+from random import Random
+
+from fakes import FakeTopology, make_map
+
+from zinnia_routing.choice import LoadAwareChoice
+from zinnia_routing.plan import Planner
+
+
+class PlannerTest(unittest.TestCase):
+    def setUp(self):
+        self.use(make_map(1, replicas=3))
+
+    def use(self, shard_map):
+        self.topology = FakeTopology(shard_map)
+        self.planner = Planner(self.topology, LoadAwareChoice(), Random(1), {})
+
+    def pin(self):
+        return self.planner.pin("tunes", self.topology.map, None, 0.0)
+
+    def choose(self, excluded=(), cross=True):
+        target = self.planner.choose(self.pin(), "0", excluded, cross)
+        return target and target.replica
+
+    def test_leaving_and_tried_replicas_are_never_chosen(self):
+        """Guards against new work for a draining replica, an out data centre or one that failed."""
+        self.topology.change_view("r0-0", draining=True)
+        self.topology.weights["dc1"] = 0.0
+        self.assertEqual("r0-2", self.choose())
+        self.assertIsNone(self.choose(["r0-2"]))
+
+    def test_least_loaded_first_and_cold_last(self):
+        """Guards against a queue beside an idle replica, and against load on a cold one."""
+        self.topology.change_view("r0-0", in_flight=3)
+        self.topology.change_view("r0-1", in_flight=2)
+        self.topology.change_view("r0-2", cold=True)
+        self.assertEqual("r0-1", self.choose())
+        self.assertEqual("r0-2", self.choose(["r0-0", "r0-1"]))
+
+    def test_replica_without_owner_is_passed_over(self):
+        """Guards against sub-requests to a replica that no VM may send to."""
+        self.topology.owners = {"r0-1": "vm1"}
+        self.assertEqual("r0-1", self.choose())
+
+    def test_returning_data_centre_gets_its_weight(self):
+        """Guards against full load on a data centre that has just returned."""
+        self.topology.weights["dc0"] = 0.1
+        self.topology.change_view("r0-1", in_flight=1)
+        self.topology.change_view("r0-2", in_flight=1)
+        chosen = Counter(self.choose() for _ in range(1000))
+        self.assertTrue(60 < chosen["r0-0"] < 140, chosen)
+
+    def test_old_version_crosses_to_new_only_within_share(self):
+        """Guards against a lost old replica moving all queries to the new version."""
+        self.use(make_map(1, replicas=2, versions=("old", "new")))
+        self.topology.share_of = {"old": 0.95, "new": 0.05}
+        self.topology.change_view("r0-0", draining=True)
+        chosen = Counter(self.choose() for _ in range(1000))
+        self.assertLessEqual(chosen["r0-1"], 50)
+        self.assertGreater(chosen["r0-1"], 40)
+
+    def test_hedge_does_not_cross_to_new_version(self):
+        """Guards against hedges that add traffic to the new version beyond its share."""
+        self.use(make_map(1, replicas=2, versions=("old", "new")))
+        self.topology.share_of = {"old": 0.5, "new": 0.5}
+        chosen = Counter(self.choose(["r0-0"], cross=False) for _ in range(100))
+        self.assertEqual(50, chosen["r0-1"])
+
+    def test_new_version_falls_back_to_old(self):
+        """Guards against lost coverage when the new version does not hold a shard yet."""
+        self.use(make_map(1, replicas=1, versions=("old",)))
+        self.topology.share_of = {"old": 0.5, "new": 0.5}
+        self.assertEqual({"r0-0"}, {self.choose() for _ in range(10)})
+
+    def test_veto_during_query_stops_resends_to_new_version(self):
+        """Guards against retries on a version whose share fell to 0 after the query was planned."""
+        self.use(make_map(1, replicas=2, versions=("old", "new")))
+        self.topology.share_of = {"new": 0.7, "old": 0.3}
+        pinned = self.pin()
+        self.topology.share_of = {"new": 0.0, "old": 1.0}
+        self.planner.refresh(pinned, 1.0)
+        self.assertIsNone(self.planner.choose(pinned, "0", ["r0-0"], cross=True))
+        self.assertEqual("r0-0", self.planner.choose(pinned, "0", []).replica)
