--- a/libs/claims/tests/test_claims.py
+++ b/libs/claims/tests/test_claims.py
@@ -180,6 +180,18 @@
 
         run_world(check)
 
+    def test_late_takeover_of_a_released_record_does_not_block_the_key(self):
+        async def check(world):
+            await world.copy("vm-1", result=REFUSED)
+            await trio.sleep(1)
+            world.core.set_faults({"lose_replies": -1, "late_write_s": 300.0})
+            self.assertIs(Outcome.NOT_RUN, (await world.copy("vm-2")).outcome)
+            world.core.set_faults({"lose_replies": 0})
+            await trio.sleep(600)
+            self.assertEqual(ANSWERED, await world.copy("vm-1"))
+
+        run_world(check)
+
     def test_platform_outage_refuses_as_not_run_and_keeps_results_for_later(self):
         async def check(world):
             world.nursery.start_soon(world.copy, "vm-1", "k", 5.0, ANSWERED, 1.0)
