Release notes, moves, fault evidence and vetoes

Change: zinnia_releases parses notes, plans them against a document, advances moves, pools fault evidence through facts, raises vetoes and reports. ConfigDocument.touched records which revision last changed each service and data centre, so that a note conflicts only with what it names. Alternatives: a Bayes factor with a prior on both rates is exact at any time but pays for the rate of the old version too; a plain likelihood ratio is not safe to test after every answer. The prior is on the new rate only. A fixed slow threshold per VM would not pool; log-bucket histograms do. Old counts of earlier steps as baseline took a good version back in the burst test, so only the step at 100% uses them. Conclusion: the decisions are complete and pure; the daemon has to call them.

--- a/libs/model/src/zinnia_model/configuration.py
+++ b/libs/model/src/zinnia_model/configuration.py
@@ -100,11 +100,20 @@
     change: dict = Field(default_factory=dict)
 
 
+class Touch(Model):
+    """The revision that last changed a service or a data centre, and who wrote it."""
+
+    revision: int = Field(ge=0)
+    by: str = ""
+
+
 class ConfigDocument(Model):
     """The whole configuration, one object in the platform.
 
     ``change_id`` identifies the write that produced this revision, so that a writer whose reply was
-    lost can tell its own write from another's.
+    lost can tell its own write from another's. ``touched`` maps ``service/<id>`` and
+    ``data_centre/<id>`` to the last change of each, so that a release note that was written against
+    an older revision conflicts only with changes of what it names.
     """
 
     revision: int = Field(ge=0)
@@ -113,6 +122,7 @@
     services: dict[str, ServiceConfig] = Field(default_factory=dict)
     data_centres: dict[str, DataCentreConfig] = Field(default_factory=dict)
     moves: dict[str, MoveRecord] = Field(default_factory=dict)
+    touched: dict[str, Touch] = Field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the document as JSON."""
--- /dev/null
+++ b/libs/releases/src/zinnia_releases/hours.py
@@ -0,0 +1,59 @@
+"""Named hours: local times of operators and wall clock times in milliseconds."""
+
+from datetime import UTC, datetime
+from zoneinfo import ZoneInfo
+
+LOCAL_FORMAT = "%Y-%m-%d %H:%M"
+EARLIEST_YEAR = 2000
+LATEST_YEAR = 2200
+
+
+class HourError(ValueError):
+    """A local time or time zone is not usable; the message names the remedy."""
+
+
+def find_zone(name: str) -> ZoneInfo:
+    """Return the time zone of a name such as ``Asia/Taipei``."""
+    try:
+        return ZoneInfo(name)
+    except (KeyError, ValueError, OSError) as error:
+        raise HourError(f"time zone {name!r} is unknown; use a name like 'Asia/Taipei'") from error
+
+
+def resolve_local(local: str, zone_name: str) -> int:
+    """Return a local time as wall clock time in ms since the epoch (UTC).
+
+    Raises
+    ------
+    HourError
+        The text is not ``YYYY-MM-DD HH:MM``, the zone is unknown, or the clock shows this time
+        never or twice because of a clock change.
+    """
+    zone = find_zone(zone_name)
+    try:
+        naive = datetime.strptime(local, LOCAL_FORMAT)
+    except ValueError as error:
+        raise HourError(f"{local!r} is not a time; write it as 'YYYY-MM-DD HH:MM'") from error
+    if not EARLIEST_YEAR <= naive.year <= LATEST_YEAR:
+        raise HourError(f"year {naive.year} is out of range; use a year of today")
+    first, second = naive.replace(tzinfo=zone), naive.replace(tzinfo=zone, fold=1)
+    if first.utcoffset() == second.utcoffset():
+        return int(first.timestamp() * 1000)
+    if first.astimezone(UTC).astimezone(zone).replace(tzinfo=None) != naive:
+        raise HourError(
+            f"{local} does not exist in {zone_name} because the clock is set forward; "
+            "choose a time before or after the change"
+        )
+    raise HourError(
+        f"{local} happens twice in {zone_name} because the clock is set back; "
+        "choose a time before or after the change, or write it in time zone UTC"
+    )
+
+
+def format_local(wall_ms: int, zone_name: str) -> str:
+    """Return a wall clock time in ms as local time with seconds."""
+    try:
+        zone = find_zone(zone_name)
+    except HourError:
+        zone = ZoneInfo("UTC")
+    return datetime.fromtimestamp(wall_ms / 1000, zone).strftime("%Y-%m-%d %H:%M:%S")
--- /dev/null
+++ b/libs/releases/tests/test_report.py
@@ -0,0 +1,30 @@
+import unittest
+
+from simulation import START_MS, Simulation, answer_well, make_ramp
+
+from zinnia_model.configuration import MoveState
+from zinnia_releases.evidence import PooledEvidence
+from zinnia_releases.moves import advance
+from zinnia_releases.report import report_moves
+
+
+class ReportTest(unittest.TestCase):
+    def test_done_move_shows_hour_step_and_evidence(self):
+        simulation = Simulation(1, answer_well)
+        simulation.run(200)
+        evidence = simulation.vms[0].evidence.pool(simulation.second)
+        report = report_moves(simulation.document, evidence, {}, simulation.wall_ms)[0]
+        self.assertEqual((MoveState.DONE, 1.0, 5, 5), (report.state, report.share, 5, report.steps))
+        self.assertEqual(("2026-12-04 12:00", "Asia/Taipei"), (report.due, report.time_zone))
+        self.assertTrue(report.settled.startswith("2026-12-04 11:00:"))
+        self.assertEqual(["v1", "v2"], [row.version for row in report.evidence])
+        self.assertGreater(report.evidence[1].answers, 900)
+
+    def test_hour_shows_before_the_store_records_it(self):
+        """Guards against a report that says ramping while every VM sends to the old version."""
+        document = advance(make_ramp(), START_MS, PooledEvidence({}), {})
+        due_ms = document.moves["n1.1"].due_ms
+        report = report_moves(document, PooledEvidence({}), {}, due_ms)[0]
+        self.assertEqual((MoveState.TAKEN_BACK, MoveState.RAMPING), (report.state, report.recorded))
+        self.assertEqual(0.0, report.share)
+        self.assertIn("not done at its hour", report.cause)
