--- a/libs/facts/src/zinnia_facts/table.py
+++ b/libs/facts/src/zinnia_facts/table.py
@@ -21,10 +21,11 @@
     VETO = "veto"
     CRASH = "crash"
     SUSPECT_CLEARED = "suspect_cleared"
+    SHARD_MAP = "shard_map"
 
 
 # These are pushed to all peers at once; the others travel on heartbeats.
-URGENT_KINDS = frozenset({FactKind.VETO, FactKind.CRASH})
+URGENT_KINDS = frozenset({FactKind.VETO, FactKind.CRASH, FactKind.SHARD_MAP})
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/routing/src/zinnia_routing/context.py
+++ b/libs/routing/src/zinnia_routing/context.py
@@ -28,7 +28,15 @@
 SUSPECT_PAUSE_S = 0.25
 
 # The sub-request never reached the replica, which may be asked again through its new owner.
-OWNER_REASONS = frozenset({Reason.NOT_OWNER, Reason.OWNER_WAITING, Reason.OWNER_UNREACHABLE})
+OWNER_REASONS = frozenset(
+    {
+        Reason.NOT_OWNER,
+        Reason.NO_MAJORITY,
+        Reason.OWNER_WAITING,
+        Reason.OWNER_UNREACHABLE,
+        Reason.SHUTTING_DOWN,
+    }
+)
 # The planner's information was out of date. Sending elsewhere puts no extra load on a backend
 # server, so it does not draw on the budget; a lost owner would otherwise exhaust it at once.
 UNCHARGED_REASONS = OWNER_REASONS | {
--- a/programs/daemon/src/zinniarouterd/callers.py
+++ b/programs/daemon/src/zinniarouterd/callers.py
@@ -7,7 +7,8 @@
 
 import trio
 
-from zinnia_claims.claims import Claims, CommandResult
+from zinnia_claims.claims import Claims
+from zinnia_claims.records import CommandResult
 from zinnia_model.errors import RefusedError
 from zinnia_model.fingerprints import compute_fingerprint
 from zinnia_model.ids import (
@@ -222,18 +223,21 @@
     async def look_up_outcome(self, rest: str) -> WebResponse:
         """Report what is known about an earlier command; ``rest`` is ``service/key``."""
         service, _, key = rest.partition("/")
-        record = await self._claims.look_up(
+        result = await self._claims.look_up(
             ServiceId(unquote(service)), IdempotencyKey(unquote(key))
         )
-        if record is None:
-            return make_json(
-                404,
-                {
-                    "outcome": Outcome.NOT_RUN.value,
-                    "message": "No command with this key was accepted in the last 24 h.",
-                },
-            )
-        return make_json(200, record.model_dump(mode="json"))
+        if result is None:
+            message = "No command with this key is recorded; records are kept for 24 h."
+            return make_json(404, {"message": message})
+        value = {
+            "outcome": result.outcome.value,
+            "reason": result.reason.value if result.reason else None,
+            "shard": result.shard,
+            "snapshot": result.snapshot,
+            "message": result.message,
+        }
+        head = json.dumps(value).encode()
+        return WebResponse(200, head[:-1] + b',"result":' + (result.body or b"null") + b"}")
 
 
 def make_outcome_url(service: str, key: str | None) -> str:
--- a/programs/daemon/src/zinniarouterd/gate.py
+++ b/programs/daemon/src/zinniarouterd/gate.py
@@ -12,7 +12,6 @@
     Reason.NO_CONFIGURATION: "No configuration is known yet; apply one with zinnia or retry later.",
     Reason.NO_MAJORITY: "This VM cannot reach a majority of its peers; send to another VM.",
     Reason.SHUTTING_DOWN: "This VM is shutting down; send to another VM.",
-    Reason.DATA_CENTRE_OUT: "The data centre of this VM is out; send to a VM in another one.",
 }
 
 
@@ -22,11 +21,19 @@
     Parameters
     ----------
     find_obstacle : callable
-        Returns the reason why this VM may not serve now, or None.
+        Returns the reason why the balancer should send requests elsewhere, or None.
+    find_refusal : callable
+        Returns the reason why this VM may not serve now, or None. A VM that is only to be taken out
+        still serves what reaches it, so that no request fails because of a planned move.
     """
 
-    def __init__(self, find_obstacle: Callable[[], Reason | None]) -> None:
+    def __init__(
+        self,
+        find_obstacle: Callable[[], Reason | None],
+        find_refusal: Callable[[], Reason | None],
+    ) -> None:
         self._find_obstacle = find_obstacle
+        self._find_refusal = find_refusal
         self._in_flight = 0
         self._idle = trio.Event()
         self._idle.set()
@@ -60,7 +67,7 @@
         RefusedError
             If the VM may not serve; nothing was run.
         """
-        obstacle = Reason.SHUTTING_DOWN if self._closed else self._find_obstacle()
+        obstacle = Reason.SHUTTING_DOWN if self._closed else self._find_refusal()
         if obstacle is not None:
             raise RefusedError(obstacle, Outcome.NOT_RUN, REMEDIES[obstacle])
         self._in_flight += 1
--- a/programs/daemon/src/zinniarouterd/maps.py
+++ b/programs/daemon/src/zinniarouterd/maps.py
@@ -1,16 +1,19 @@
 """The shard maps that this VM knows, and the index from replicas to services."""
 
-import json
 from collections.abc import Callable, Iterable
 
 from loguru import logger
 from pydantic import ValidationError
 
+from zinnia_facts.table import Fact, FactKind
 from zinnia_model.ids import ReplicaId, ServiceId
 from zinnia_model.shardmaps import ReplicaRecord, ShardMap
 from zinnia_platform.store import StoredObject
 
 MAPS_KIND = "shardmaps"
+MAP_ORIGIN = "platform"
+# Longer than any outage, so that a fresh VM still gets the maps from its peers.
+MAP_TTL_S = 30 * 24 * 3600.0
 
 
 class ShardMaps:
@@ -45,9 +48,9 @@
         """Return the service of every replica."""
         return dict(self._services)
 
-    def adopt_objects(self, objects: Iterable[StoredObject]) -> bool:
-        """Take maps as the platform stores them; return whether any was new."""
-        adopted = False
+    def adopt_objects(self, objects: Iterable[StoredObject]) -> list[ServiceId]:
+        """Take maps as the platform stores them; return the services whose map was new."""
+        adopted = []
         for stored in objects:
             if stored.deleted:
                 continue
@@ -56,7 +59,8 @@
             except ValidationError as error:
                 logger.bind(object=stored.name, error=str(error)).error("shard_map_invalid")
                 continue
-            adopted |= self.adopt(shard_map, stored.version)
+            if self.adopt(shard_map, stored.version):
+                adopted.append(ServiceId(shard_map.service))
         return adopted
 
     def adopt(self, shard_map: ShardMap, version: int) -> bool:
@@ -77,23 +81,19 @@
         self._on_change(service, shard_map)
         return True
 
-    def encode(self) -> tuple[bytes, ...]:
-        """Return all maps for a peer."""
-        return tuple(
-            json.dumps(
-                {"version": self._versions[service], "map": shard_map.model_dump(mode="json")}
-            ).encode()
-            for service, shard_map in self._maps.items()
+    def adopt_facts(self, facts: Iterable[Fact]) -> None:
+        """Take the maps that peers learned from the platform."""
+        for fact in facts:
+            if fact.kind is FactKind.SHARD_MAP:
+                self.adopt(ShardMap.model_validate_json(fact.value), fact.version)
+
+    def make_fact(self, service: ServiceId) -> Fact:
+        """Return the map of a service as a fact; its version is that of the platform's object."""
+        value = self._maps[service].model_dump_json()
+        return Fact(
+            FactKind.SHARD_MAP, service, MAP_ORIGIN, self._versions[service], value, MAP_TTL_S
         )
 
-    def adopt_encoded(self, encoded: Iterable[bytes]) -> bool:
-        """Take the maps of a peer; return whether any was new."""
-        adopted = False
-        for item in encoded:
-            value = json.loads(item)
-            adopted |= self.adopt(ShardMap.model_validate(value["map"]), value["version"])
-        return adopted
-
 
 def list_all_records(shard_map: ShardMap) -> list[ReplicaRecord]:
     """Return the replicas of a map and of the previous snapshot that is still served."""
--- a/programs/daemon/src/zinniarouterd/metrics.py
+++ b/programs/daemon/src/zinniarouterd/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from zinnia_model.reasons import Outcome, Reason
+from zinnia_platform.limiter import CallKind, CallLimiter
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
@@ -22,8 +23,11 @@
             "zinnia_results", "Settled sub-requests at the owner", ["reason", "outcome"]
         )
         self.missing = self._count("zinnia_missing_shards", "Shards missing in answers", [])
-        self.platform_calls = self._count(
-            "zinnia_platform_calls", "Platform calls", ["kind", "verdict"]
+        self.platform_calls = Gauge(
+            "zinnia_platform_calls",
+            "Platform calls since the start, sent and held back by the limiter",
+            ["kind", "verdict"],
+            registry=self.registry,
         )
         self.config_changes = self._count("zinnia_config_adoptions", "Adopted revisions", [])
         self.vetoes = self._count("zinnia_vetoes", "Vetoes of versions", ["service", "version"])
@@ -59,17 +63,11 @@
         """Count a refused request."""
         self.refusals.labels(reason.value, outcome.value).inc()
 
-    def count_retry(self, reason: Reason) -> None:
-        """Count a sub-request that is sent again."""
-        self.retries.labels(reason.value).inc()
-
-    def count_hedge(self, reason: Reason) -> None:
-        """Count a hedged sub-request."""
-        self.hedges.labels(reason.value).inc()
-
-    def count_subrequest(self) -> None:
-        """Count a sub-request that is sent."""
-        self.subrequests.inc()
+    def note_platform_calls(self, limiter: CallLimiter) -> None:
+        """Copy the counts of the call limiter."""
+        for kind in CallKind:
+            self.platform_calls.labels(kind.value, "sent").set(limiter.allowed[kind])
+            self.platform_calls.labels(kind.value, "held_back").set(limiter.refused[kind])
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- /dev/null
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -0,0 +1,407 @@
+"""Assembles one daemon from its libraries; the seams to the outside are parameters."""
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import trio
+from loguru import logger
+
+from zinnia_backends.connections import Connector
+from zinnia_backends.crashes import CrashRegistry
+from zinnia_backends.dispatcher import ReplicaDispatcher
+from zinnia_claims.claims import Claims
+from zinnia_facts.table import Fact, FactTable
+from zinnia_membership.keeper import MemberKeeper
+from zinnia_membership.membership import Membership
+from zinnia_model.configuration import ConfigDocument, DataCentreState
+from zinnia_model.ids import ReplicaId, ServiceId, VmId
+from zinnia_model.members import Member, MemberList
+from zinnia_model.messages import HandedReplica, Handover, MemberPush
+from zinnia_model.ownership import Standing
+from zinnia_model.reasons import Reason
+from zinnia_model.shardmaps import ShardMap
+from zinnia_peers.links import Connect, PeerLinks, PeerLostError, PeerTimeoutError, connect_tcp
+from zinnia_peers.server import PeerServer
+from zinnia_platform.limiter import CallLimiter
+from zinnia_platform.store import ObjectStore
+from zinnia_releases.evidence import FaultEvidence
+from zinnia_releases.report import report_moves
+from zinnia_releases.vetoes import VetoRaiser
+from zinnia_routing.baselines import RandomChoice, RoundRobinChoice
+from zinnia_routing.choice import ReplicaChoice
+from zinnia_routing.context import Switches as RoutingSwitches
+from zinnia_routing.execution import QueryExecutor
+from zinniarouterd.admin import AdminInterface, AdminSources
+from zinniarouterd.callers import CallerInterface
+from zinniarouterd.counters import ExecutorCounters
+from zinniarouterd.driver import MoveDriver
+from zinniarouterd.exchange import FactExchange
+from zinniarouterd.gate import Gate
+from zinniarouterd.handler import NodeHandler, make_config_push
+from zinniarouterd.heartbeats import Heartbeats
+from zinniarouterd.history import TraceHistory
+from zinniarouterd.holders import HolderQueries
+from zinniarouterd.maps import ShardMaps, list_all_records
+from zinniarouterd.metrics import Metrics
+from zinniarouterd.senders import CountingSender, SenderDirectory
+from zinniarouterd.settings import Settings
+from zinniarouterd.status import StatusReport
+from zinniarouterd.topology import LiveTopology, make_refusal_check, read_wall_ms
+from zinniarouterd.watching import PlatformWatch
+from zinniarouterd.writer import ConfigWriter
+
+EXPIRY_INTERVAL_S = 5.0
+HANDOVER_LIMIT_S = 1.0
+LEAVE_PAUSE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Seams:
+    """What a daemon meets outside of its process; tests give fakes."""
+
+    store: ObjectStore
+    limiter: CallLimiter
+    connector: Connector
+    connect: Connect = connect_tcp
+    wall_ms: Callable[[], int] = read_wall_ms
+
+
+class Node:
+    """One daemon without its HTTP servers.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    seams : Seams
+        Platform, backend servers, peers and the wall clock.
+    nursery : trio.Nursery
+        Where links run.
+    """
+
+    def __init__(self, settings: Settings, seams: Seams, nursery: trio.Nursery) -> None:
+        self.settings = settings
+        self.seams = seams
+        self.vm = VmId(settings.vm)
+        self.incarnation = secrets.token_hex(6)
+        self.random = Random(settings.seed or secrets.randbits(64))
+        self.metrics = Metrics()
+        self.history = TraceHistory()
+        self.facts = FactTable()
+        self.membership = Membership(self.vm, self.incarnation, trio.current_time())
+        self.links = PeerLinks(
+            self.vm,
+            nursery,
+            self.random.getrandbits(32),
+            connect=seams.connect,
+            incarnation=self.incarnation,
+        )
+        self.exchange = FactExchange(self.vm, self.facts, self.links, self._take_facts)
+        self.maps = ShardMaps(self._take_map)
+        self.watch = PlatformWatch(
+            seams.store,
+            lambda: self.membership,
+            self.maps,
+            self.adopt_config,
+            self.exchange.publish,
+            settings.platform.poll_s,
+            self.random,
+        )
+        self.topology = LiveTopology(
+            lambda: self.membership.configuration.document,
+            self.maps,
+            self.facts,
+            self.membership.owner,
+            self.watch.is_leaving,
+            seams.wall_ms,
+        )
+        self._build_backends()
+        self._build_requests()
+        self._build_operations()
+        peers = {VmId(vm): address for vm, address in settings.peers.items()}
+        self.heartbeats = Heartbeats(
+            self.membership, self.links, self.exchange, peers, self.adopt_config
+        )
+        handler = NodeHandler(
+            self.sender,
+            self.membership,
+            self.exchange,
+            self.heartbeats,
+            self.claims,
+            self.dispatcher.import_states,
+            lambda vm: vm in self.links.list_peers(),
+        )
+        self.server = PeerServer(settings.listen.peers, handler, self.links.counters)
+
+    def _build_backends(self) -> None:
+        self.crashes = CrashRegistry(self.facts, self.exchange.publish, self.vm)
+        self.evidence = FaultEvidence(f"{self.vm}/{self.incarnation}", self.facts)
+        self.dispatcher = ReplicaDispatcher(
+            self.topology.service,
+            self.find_standing,
+            self.topology.find_block,
+            self.facts,
+            self.exchange.publish,
+            self.crashes,
+            self.evidence,
+            self.seams.connector,
+            self.vm,
+            self.random,
+            self.seams.wall_ms,
+        )
+        self.sender = CountingSender(self.dispatcher, self.metrics)
+
+    def _build_requests(self) -> None:
+        settings = self.settings
+        refuse_check, is_suspect = make_refusal_check(self.crashes)
+        switches = settings.switches
+        self.executor = QueryExecutor(
+            self.topology,
+            SenderDirectory(self.vm, self.sender, self.links).find,
+            self.vm,
+            ExecutorCounters(self.metrics),
+            self.random,
+            refuse_check,
+            is_suspect,
+            RoutingSwitches(switches.hedging, switches.load_aware, switches.admission),
+            make_choice(switches.baseline),
+        )
+        self.claims = Claims(
+            self.seams.store,
+            self.vm,
+            HolderQueries(self.vm, self.links).ask,
+            lambda: self.seams.wall_ms() / 1000,
+            self.random.getrandbits(32),
+        )
+        self.gate = Gate(self.find_obstacle, self.find_refusal)
+        self.callers = CallerInterface(
+            f"{self.vm}-{self.incarnation}",
+            self.gate,
+            self.topology,
+            self.executor,
+            self.claims,
+            self.history,
+            self.metrics,
+            settings.limits.max_deadline_ms,
+        )
+
+    def _build_operations(self) -> None:
+        self.writer = ConfigWriter(self.seams.store, self.publish_config)
+        self.driver = MoveDriver(
+            lambda: self.membership.configuration.document,
+            self.topology,
+            self.evidence,
+            VetoRaiser(f"{self.vm}/{self.incarnation}", self.facts),
+            self.writer,
+            self.exchange.push,
+            self.find_rank,
+            lambda: self.find_refusal() is None,
+            self.seams.wall_ms,
+            self.metrics,
+        )
+        report = StatusReport(
+            self.vm,
+            self.settings.data_centre,
+            self.incarnation,
+            self.gate,
+            self.maps,
+            self.topology,
+            self.dispatcher,
+        )
+        sources = AdminSources(
+            lambda: report.build(self.membership, self.watch.is_up),
+            lambda: self.membership.configuration.document,
+            self.list_moves,
+            self.seams.wall_ms,
+            self.callers.look_up_outcome,
+        )
+        self.admin = AdminInterface(sources, self.writer, self.history)
+
+    # State of this VM
+
+    def find_standing(self, replica: ReplicaId) -> Standing:
+        """Return whether this VM may send to a replica at this moment."""
+        return self.membership.standing(replica, trio.current_time())
+
+    def find_refusal(self) -> Reason | None:
+        """Return why requests must be refused now, or None."""
+        now = trio.current_time()
+        if self.membership.configuration.document is None:
+            return Reason.NO_CONFIGURATION
+        if self.membership.is_ready(now) or self.membership.is_degraded(now):
+            return None
+        return Reason.NO_MAJORITY
+
+    def find_obstacle(self) -> Reason | None:
+        """Return why the balancer should not send requests here, or None."""
+        document = self.membership.configuration.document
+        config = document.data_centres.get(self.settings.data_centre) if document else None
+        if config is not None and config.state is DataCentreState.OUT:
+            return Reason.DATA_CENTRE_OUT
+        return self.find_refusal()
+
+    def find_rank(self, now: float) -> int | None:
+        """Return the position of this VM among the live members, None without a majority."""
+        if not self.membership.is_member or not self.membership.has_majority(now):
+            return None
+        live = [
+            vm for vm in self.membership.view.vms if not self.membership.promises.holds_dead(vm, now)
+        ]
+        return sorted(live).index(self.vm)
+
+    def list_moves(self) -> list[dict]:
+        """Return the report of all moves."""
+        document = self.membership.configuration.document
+        if document is None:
+            return []
+        pooled = self.evidence.pool(trio.current_time())
+        reports = report_moves(document, pooled, self.topology.vetoes(), self.seams.wall_ms())
+        return [report.model_dump(mode="json") for report in reports]
+
+    # Changes
+
+    def adopt_config(self, document: ConfigDocument) -> None:
+        """Put a newer configuration in force on this VM."""
+        if not self.membership.configuration.adopt(document):
+            return
+        logger.bind(revision=document.revision, by=document.changed_by).info("config_adopted")
+        self.metrics.config_changes.inc()
+        self.metrics.revision.set(document.revision)
+        self.evidence.adopt(document)
+        self.topology.forget_shares()
+        for service in document.services:
+            shard_map = self.maps.get(ServiceId(service))
+            if shard_map is not None:
+                self._take_map(ServiceId(service), shard_map)
+        if self.membership.configuration.is_watcher(trio.current_time()):
+            self.push_config()
+
+    def publish_config(self, document: ConfigDocument) -> None:
+        """Put an accepted configuration in force here and push it to all peers."""
+        self.adopt_config(document)
+        self.push_config()
+
+    def push_config(self) -> None:
+        """Send the held configuration to all peers."""
+        message = make_config_push(self.membership)
+        for peer in self.links.list_peers():
+            self.links.get(peer).notify(message)
+
+    def push_members(self, members: MemberList) -> None:
+        """Send a member list that this VM wrote or read to all peers."""
+        self.seams.limiter.set_fleet_size(len(members.members), trio.current_time())
+        self.heartbeats.follow_members()
+        message = MemberPush(self.vm, members, self.membership.configuration.revision)
+        for peer in self.links.list_peers():
+            self.links.get(peer).notify(message)
+
+    def _take_map(self, service: ServiceId, shard_map: ShardMap) -> None:
+        self.dispatcher.set_replicas(service, list_all_records(shard_map), shard_map.shards)
+
+    def _take_facts(self, facts: list[Fact]) -> None:
+        self.maps.adopt_facts(facts)
+
+    # Life
+
+    async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Run all loops until cancelled."""
+        keeper = self.make_keeper()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.dispatcher.run)
+            await nursery.start(self.claims.run)
+            await nursery.start(self.server.serve)
+            await nursery.start(self.heartbeats.run)
+            nursery.start_soon(self.watch.run)
+            nursery.start_soon(keeper.run)
+            nursery.start_soon(self.driver.run)
+            nursery.start_soon(self._tidy)
+            task_status.started()
+
+    def make_keeper(self) -> MemberKeeper:
+        """Return the keeper of the member list."""
+        own = Member(
+            seat=0,
+            vm=self.vm,
+            incarnation=self.incarnation,
+            peer_address=self.settings.listen.peers,
+            data_centre=self.settings.data_centre,
+        )
+        self.keeper = MemberKeeper(
+            self.seams.store, self.membership, own, self.push_members, self.random.getrandbits(32)
+        )
+        return self.keeper
+
+    async def _tidy(self) -> None:
+        while True:
+            await trio.sleep(EXPIRY_INTERVAL_S)
+            self.facts.expire(trio.current_time())
+
+    async def stop(self) -> None:
+        """Leave without cutting a request: drain, hand over, flush claims, give up the seat."""
+        limit_s = self.settings.shutdown.drain_limit_s
+        deadline = trio.current_time() + limit_s
+        self.gate.announce_shutdown()
+        logger.info("shutdown_announced")
+        await trio.sleep(self.settings.shutdown.ready_grace_s)
+        self.gate.close()
+        with trio.move_on_at(deadline):
+            await self.gate.wait_idle()
+        await self.hand_over(deadline)
+        left = await self.claims.flush(trio.current_time() + HANDOVER_LIMIT_S)
+        if left:
+            logger.bind(records=left).warning("claims_not_recorded")
+        transfer = await self.keeper.leave(self.find_successor)
+        if transfer is not None:
+            for peer in self.links.list_peers():
+                self.links.get(peer).notify(transfer)
+            self.heartbeats.hurry()
+            await trio.sleep(LEAVE_PAUSE_S)
+        logger.bind(in_flight=self.gate.in_flight).info("shutdown_complete")
+
+    async def hand_over(self, deadline: float) -> None:
+        """Finish accepted sub-requests, then give the replicas to their next owners."""
+        await self.dispatcher.drain(deadline)
+        states = {ReplicaId(state.replica): state for state in self.dispatcher.export_states()}
+        successors = self.membership.ownership.list_successors(states)
+        by_vm: dict[VmId, list[HandedReplica]] = {}
+        for replica, successor in successors.items():
+            state = states[replica]
+            by_vm.setdefault(successor, []).append(
+                HandedReplica(
+                    replica,
+                    state.cold,
+                    state.draining,
+                    state.limit,
+                    state.in_flight,
+                    state.start_id,
+                    state.version,
+                )
+            )
+        self.membership.begin_leave()
+        async with trio.open_nursery() as nursery:
+            for successor, replicas in by_vm.items():
+                message = Handover(self.vm, self.incarnation, tuple(replicas))
+                nursery.start_soon(self._send_handover, successor, message)
+        self.heartbeats.hurry()
+        await trio.sleep(LEAVE_PAUSE_S)
+
+    async def _send_handover(self, successor: VmId, message: Handover) -> None:
+        try:
+            await self.links.get(successor).call(message, HANDOVER_LIMIT_S)
+        except (PeerLostError, PeerTimeoutError) as error:
+            logger.bind(vm_to=successor, error=str(error)).warning("handover_failed")
+
+    def find_successor(self) -> Member | None:
+        """Return a VM without a seat that could take this one's, or None."""
+        return None
+
+
+def make_choice(baseline: str) -> ReplicaChoice | None:
+    """Return the replica choice of a baseline, for measurements."""
+    if baseline == "random":
+        return RandomChoice()
+    if baseline == "round_robin":
+        return RoundRobinChoice()
+    return None
