--- a/libs/releases/src/zinnia_releases/hours.py
+++ b/libs/releases/src/zinnia_releases/hours.py
@@ -3,7 +3,7 @@
 from datetime import UTC, datetime
 from zoneinfo import ZoneInfo
 
-LOCAL_FORMAT = "%Y-%m-%d %H:%M"
+LOCAL_FORMATS = ("%Y-%m-%d %H:%M", "%Y-%m-%d %H:%M:%S")
 EARLIEST_YEAR = 2000
 LATEST_YEAR = 2200
 
@@ -26,14 +26,11 @@
     Raises
     ------
     HourError
-        The text is not ``YYYY-MM-DD HH:MM``, the zone is unknown, or the clock shows this time
+        The text is not ``YYYY-MM-DD HH:MM`` or ``YYYY-MM-DD HH:MM:SS``, the zone is unknown, or the clock shows this time
         never or twice because of a clock change.
     """
     zone = find_zone(zone_name)
-    try:
-        naive = datetime.strptime(local, LOCAL_FORMAT)
-    except ValueError as error:
-        raise HourError(f"{local!r} is not a time; write it as 'YYYY-MM-DD HH:MM'") from error
+    naive = _parse_local(local)
     if not EARLIEST_YEAR <= naive.year <= LATEST_YEAR:
         raise HourError(f"year {naive.year} is out of range; use a year of today")
     first, second = naive.replace(tzinfo=zone), naive.replace(tzinfo=zone, fold=1)
@@ -50,6 +47,15 @@
     )
 
 
+def _parse_local(local: str) -> datetime:
+    for text_format in LOCAL_FORMATS:
+        try:
+            return datetime.strptime(local, text_format)
+        except ValueError:
+            continue
+    raise HourError(f"{local!r} is not a time; write it as 'YYYY-MM-DD HH:MM' or with ':SS'")
+
+
 def format_local(wall_ms: int, zone_name: str) -> str:
     """Return a wall clock time in ms as local time with seconds."""
     try:
--- a/programs/daemon/src/zinniarouterd/callers.py
+++ b/programs/daemon/src/zinniarouterd/callers.py
@@ -6,6 +6,7 @@
 from urllib.parse import quote, unquote
 
 import trio
+from loguru import logger
 
 from zinnia_claims.claims import Claims
 from zinnia_claims.records import CommandResult
@@ -120,10 +121,24 @@
             trace.add(trio.current_time(), "answered")
             return response
         except RefusedError as error:
-            self._metrics.count_refusal(error.reason, error.outcome)
-            self._metrics.queries.labels(service, error.outcome.value).inc()
-            trace.add(trio.current_time(), "refused", f"{error.reason.value}: {error}")
-            return encode_refusal(error, request_id, outcome_url)
+            return self._refuse_traced(error, service, trace, outcome_url)
+        except Exception as error:
+            logger.bind(request_id=request_id).exception("request_failed")
+            # The request may already have reached a backend server.
+            refusal = RefusedError(
+                Reason.INTERNAL,
+                Outcome.UNKNOWN,
+                f"Internal error ({type(error).__name__}); report it with the request id.",
+            )
+            return self._refuse_traced(refusal, service, trace, outcome_url)
+
+    def _refuse_traced(
+        self, error: RefusedError, service: str, trace: RequestTrace, outcome_url: str
+    ) -> WebResponse:
+        self._metrics.count_refusal(error.reason, error.outcome)
+        self._metrics.queries.labels(service, error.outcome.value).inc()
+        trace.add(trio.current_time(), "refused", f"{error.reason.value}: {error}")
+        return encode_refusal(error, trace.request_id, outcome_url)
 
     def _check(
         self, web: WebRequest, request_id: RequestId, trace: RequestTrace, now: float
--- a/programs/daemon/src/zinniarouterd/main.py
+++ b/programs/daemon/src/zinniarouterd/main.py
@@ -25,6 +25,14 @@
     return load_settings(Path(path))
 
 
+def list_leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    """Return the errors of nested groups."""
+    leaves: list[BaseException] = []
+    for error in group.exceptions:
+        leaves.extend(list_leaves(error) if isinstance(error, BaseExceptionGroup) else [error])
+    return leaves
+
+
 class ServeCommand(Command):
     """Runs one daemon until SIGTERM."""
 
@@ -46,13 +54,14 @@
             self.line(f"{self.option('settings')}: valid")
             return 0
         configure_logs(settings.log, settings.vm)
+        problems: list[BaseException] = []
         try:
             trio.run(serve, settings)
         except* SettingsError as group:
-            for error in group.exceptions:
-                print(f"zinniarouterd: {error}", file=sys.stderr)
-            return EXIT_SETTINGS
-        return 0
+            problems.extend(list_leaves(group))
+        for problem in problems:
+            print(f"zinniarouterd: {problem}", file=sys.stderr)
+        return EXIT_SETTINGS if problems else 0
 
 
 def main() -> int:
--- a/programs/daemon/src/zinniarouterd/node.py
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -247,7 +247,9 @@
         if not self.membership.is_member or not self.membership.has_majority(now):
             return None
         live = [
-            vm for vm in self.membership.view.vms if not self.membership.promises.holds_dead(vm, now)
+            vm
+            for vm in self.membership.view.vms
+            if not self.membership.promises.holds_dead(vm, now)
         ]
         return sorted(live).index(self.vm)
 
--- a/programs/daemon/src/zinniarouterd/requests.py
+++ b/programs/daemon/src/zinniarouterd/requests.py
@@ -83,7 +83,7 @@
     if shard_map is None or not shard_map.shards:
         return None
     shards = sorted(shard_map.shards)
-    return ShardId(shards[xxhash.xxh3_64_intdigest(key) % len(shards)])
+    return ShardId(shards[xxhash.xxh3_64_intdigest(key.encode()) % len(shards)])
 
 
 def encode_answer(answer: Answer) -> WebResponse:
--- a/programs/daemon/src/zinniarouterd/watching.py
+++ b/programs/daemon/src/zinniarouterd/watching.py
@@ -89,7 +89,8 @@
             items, cursor = await self._store.watch(kind, cursor, WATCH_TIMEOUT_S)
             self._note_up(True)
             take(items)
-        while not self._is_watcher() and not self._needs_read():
+        # Rank and contact change with time alone, so there is no event to wait for.
+        while not self._is_watcher() and not self._needs_read():  # noqa: ASYNC110
             await trio.sleep(self._poll_s * self._random.uniform(0.5, 1.5))
 
     def _is_watcher(self) -> bool:
--- a/programs/measure/src/zinnia_measure/demo.py
+++ b/programs/measure/src/zinnia_measure/demo.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from concurrent.futures import ThreadPoolExecutor
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 
@@ -12,8 +13,9 @@
 
 SEED = 1
 DAEMONS = 3
-MOVE_S = 25
-LOAD_QUERIES = 40
+MOVE_S = 26
+LOAD_QUERIES = 60
+CALLERS = 4
 
 
 class DemoFailedError(Exception):
@@ -111,16 +113,10 @@
     say(f"  {status} {describe(answer)}")
     check(answer["coverage"]["missing"] == ["03"], "the answer names the missing shard")
     check("03" not in answer["results"], "and holds no body for it")
-    wait_until(lambda: is_whole(tier, service), "return of the shard")
+    wait_until(lambda: tier.is_whole(service), "return of the shard")
     check(True, "whole again after the restart")
 
 
-def is_whole(tier: Tier, service: str) -> bool:
-    """Return whether a query gets an answer from every shard."""
-    status, answer = tier.query(service, {"probe": time.monotonic()})
-    return status == 200 and not answer["coverage"]["missing"]
-
-
 def show_release(tier: Tier, service: str) -> None:
     """Apply a release note and follow its move until it is done."""
     say("- a release note moves traffic to version v2")
@@ -165,10 +161,14 @@
 
 def send_load(tier: Tier, service: str) -> None:
     """Send some queries over all VMs; every answer must be whole."""
-    for number in range(LOAD_QUERIES):
-        status, answer = tier.query(service, {"load": number}, vm=number % DAEMONS)
-        if status != 200 or answer["coverage"]["missing"]:
-            raise DemoFailedError(f"a query was not whole during the move: {describe(answer)}")
+
+    def send(number: int) -> tuple[int, dict]:
+        return tier.query(service, {"load": number}, vm=number % DAEMONS)
+
+    with ThreadPoolExecutor(CALLERS) as pool:
+        for status, answer in pool.map(send, range(LOAD_QUERIES)):
+            if status != 200 or answer["coverage"]["missing"]:
+                raise DemoFailedError(f"a query was not whole during the move: {describe(answer)}")
 
 
 def show_data_centre(tier: Tier, service: str, data_centre: str) -> None:
--- a/programs/measure/src/zinnia_measure/processes.py
+++ b/programs/measure/src/zinnia_measure/processes.py
@@ -33,13 +33,17 @@
         return self
 
     def __exit__(self, *_) -> None:
-        for name in list(self._processes):
+        self.stop_all(list(self._processes))
+        for log in self._logs:
+            log.close()
+
+    def stop_all(self, names: list[str]) -> None:
+        """Ask several processes to end at the same time and wait for all of them."""
+        for name in names:
             self.signal(name, signal.SIGCONT)
             self.signal(name, signal.SIGTERM)
-        for name in list(self._processes):
+        for name in names:
             self.wait(name)
-        for log in self._logs:
-            log.close()
 
     def start(self, name: str, module: str, *arguments: str) -> None:
         """Start ``python -m module`` under a name of this run."""
@@ -69,7 +73,9 @@
 
     def wait(self, name: str, limit_s: float = STOP_LIMIT_S) -> int:
         """Wait for the end of a process, kill it after the limit; return its exit status."""
-        process = self._processes.pop(name)
+        process = self._processes.pop(name, None)
+        if process is None:
+            return 0
         try:
             return process.wait(limit_s)
         except subprocess.TimeoutExpired:
--- a/programs/measure/src/zinnia_measure/tier.py
+++ b/programs/measure/src/zinnia_measure/tier.py
@@ -37,6 +37,8 @@
         return self
 
     def __exit__(self, *_) -> None:
+        # The daemons go first: a graceful stop still talks to the platform and backend servers.
+        self.processes.stop_all([daemon.vm for daemon in self.plan.daemons])
         self.processes.__exit__()
 
     def _start_all(self) -> None:
@@ -52,8 +54,16 @@
             self.start_daemon(daemon)
         wait_until(lambda: answers(f"http://{plan.daemons[0].admin}/admin/status"), "first daemon")
         wait_until(self.apply_config, "acceptance of the configuration")
-        for daemon in plan.daemons:
+        for number, daemon in enumerate(plan.daemons):
+            wait_until(lambda n=number: self.sees_all_members(n), f"members of {daemon.vm}")
             wait_until(lambda d=daemon: self.is_ready(d), f"readiness of {daemon.vm}")
+        for service in plan.size.services:
+            wait_until(lambda s=service.name: self.is_whole(s), f"whole answers of {service.name}")
+
+    def is_whole(self, service: str, vm: int = 0) -> bool:
+        """Return whether a query gets an answer from every shard."""
+        status, answer = self.query(service, {"probe": time.monotonic()}, vm=vm)
+        return status == 200 and not answer["coverage"]["missing"]
 
     def start_standin(self, name: str, *arguments: str) -> None:
         """Start a stand-in process."""
@@ -69,6 +79,12 @@
         """Return whether a daemon takes requests."""
         return answers(f"http://{daemon.callers}/readyz")
 
+    def sees_all_members(self, vm: int) -> bool:
+        """Return whether a daemon hears every other one as a member."""
+        rows = self.admin(vm, "GET", "status")[1]["members"]
+        alive = [row for row in rows if row["state"] == "alive"]
+        return len(alive) == len(self.plan.daemons)
+
     def apply_config(self) -> bool:
         """Apply the first configuration; return whether one is in force."""
         admin = f"http://{self.plan.daemons[0].admin}/admin/config"
