--- /dev/null
+++ b/programs/tool/src/zinnia_tool/exits.py
@@ -0,0 +1,25 @@
+"""Exit codes of the tool and the errors that lead to them."""
+
+from enum import IntEnum
+
+from zinnia_model.errors import ZinniaError
+
+
+class ExitCode(IntEnum):
+    """What the exit status of ``zinnia`` means."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNREACHABLE = 4
+    NOT_FOUND = 5
+
+
+class ToolError(ZinniaError):
+    """A command failed; ``reasons`` lists every cause with its remedy."""
+
+    def __init__(self, code: ExitCode, reasons: list[str]):
+        super().__init__("; ".join(reasons))
+        self.code = code
+        self.reasons = reasons
