Membership: promises, ownership, member list, configuration holder, keeper

Cause: each replica needs exactly one VM that sends to it, without a lease in the platform.

Change: zinnia_membership with rendezvous ranks, liveness promises, ownership, member list with seat transfers, configuration holder, the facade Membership, and the keeper of members/current. Short wire names and 32-bit fields for heartbeats.

Rules added to the design page's, each needed by the search below or by the argument for it: - Promises name a view (epoch and holders of all seats), because seats change hands in an epoch. - A reply says whether every promise given under another view has expired (settled). A replica that another VM may still hold under an earlier view waits for a settled majority, and the list changes only by a VM that has heard the current view from a settled majority. - The epoch of a written list also counts the seat transfers before it, so no step is overlooked. - ALIVE goes to one incarnation of a VM at a time. A leaving heartbeat voids ALIVE at once.

Alternative: waiting 1.5 s on every VM after each list change; rejected, because every join would stop the whole cell.

--- /dev/null
+++ b/libs/membership/src/zinnia_membership/keeper.py
@@ -0,0 +1,236 @@
+"""Keeps the member list in the platform: joining, removing lost members, leaving, watching."""
+
+from collections.abc import Callable
+from random import Random
+
+import trio
+from loguru import logger
+
+from zinnia_membership.member_list import (
+    MAX_SEATS,
+    add_member,
+    find_member,
+    remove_member,
+    replace_vanished,
+    update_member,
+)
+from zinnia_membership.membership import Membership
+from zinnia_membership.rendezvous import rank
+from zinnia_model.errors import ConflictError, PlatformUnavailableError
+from zinnia_model.ids import VmId
+from zinnia_model.members import Member, MemberList
+from zinnia_model.messages import SeatTransfer
+from zinnia_platform.store import CREATE_ONLY, ObjectStore
+
+KIND = "members"
+NAME = "current"
+# A member may be away for this long, for example paused or cut off, before it loses its seat.
+REMOVE_AFTER_S = 30.0
+STEP_INTERVAL_S = 1.0
+WATCH_TIMEOUT_S = 2.0
+LEAVE_TIMEOUT_S = 3.0
+LEAVE_RETRY_S = 0.1
+# Reads of the platform by VMs without a seat are this far apart.
+READ_INTERVAL_S = 2.0
+NEVER = float("-inf")
+
+
+class MemberKeeper:
+    """Writes the changes of the member list that this VM is responsible for.
+
+    Parameters
+    ----------
+    own : Member
+        This VM; seat and holder version are ignored.
+    publish : callable
+        Called with each list that this VM wrote or read newly, to push it to the peers.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        membership: Membership,
+        own: Member,
+        publish: Callable[[MemberList], None],
+        seed: int = 0,
+    ) -> None:
+        self._store = store
+        self._membership = membership
+        self._own = own
+        self._publish = publish
+        self._random = Random(f"{seed}/{own.vm}")
+        self._version = CREATE_ONLY
+        self._stored: MemberList | None = None
+        self._cursor = 0
+        self._read_at = NEVER
+        self._no_contact_since: float | None = None
+
+    async def run(self) -> None:
+        """Follow the list and change it until this VM leaves."""
+        while not self._membership.is_leaving:
+            await self.step()
+            if self._is_watcher() and self._membership.is_member:
+                await self._watch()
+            else:
+                await trio.sleep(STEP_INTERVAL_S * self._random.uniform(0.5, 1.5))
+
+    async def step(self) -> None:
+        """Read the list if that is due and write at most one change."""
+        now = trio.current_time()
+        if self._needs_read(now):
+            await self._refresh()
+        if self._stored is None and self._version != CREATE_ONLY:
+            return
+        changed = self._choose_change(trio.current_time())
+        if changed is None:
+            changed = await self._choose_reset(trio.current_time())
+        if changed is not None:
+            await self._write(changed)
+
+    async def leave(self, find_successor: Callable[[], Member | None]) -> SeatTransfer | None:
+        """Give up the seat; the ownership must have been given up before.
+
+        Returns
+        -------
+        SeatTransfer or None
+            With the platform down, the transfer to send to all peers. None if the member list was
+            changed, or if nobody could take the seat: the other members remove it later.
+        """
+        with trio.move_on_after(LEAVE_TIMEOUT_S):
+            while self._membership.is_member:
+                if not await self._refresh():
+                    return self._hand_seat_over(find_successor())
+                now = trio.current_time()
+                if self._is_base(now):
+                    await self._write(remove_member(self._membership.members(), self._vm))
+                await trio.sleep(LEAVE_RETRY_S)
+        return None
+
+    @property
+    def _vm(self) -> VmId:
+        return VmId(self._own.vm)
+
+    def _hand_seat_over(self, successor: Member | None) -> SeatTransfer | None:
+        if successor is None:
+            logger.warning("no VM waits for the seat of {}; it stays listed", self._own.vm)
+            return None
+        return self._membership.transfer_seat(successor, trio.current_time())
+
+    def _is_watcher(self) -> bool:
+        return self._membership.configuration.is_watcher(trio.current_time())
+
+    def _needs_read(self, now: float) -> bool:
+        if self._stored is None or not self._membership.has_majority(now):
+            return now - self._read_at >= STEP_INTERVAL_S / 2
+        if not self._membership.is_member or not self._is_in_step():
+            return now - self._read_at >= READ_INTERVAL_S
+        return False
+
+    def _is_in_step(self) -> bool:
+        """Whether the list known from the peers is the one last read from the platform."""
+        return self._stored is not None and self._stored.epoch == self._membership.view.epoch
+
+    def _is_base(self, now: float) -> bool:
+        """Whether the next list may be built on the known one."""
+        return self._is_in_step() and self._membership.can_change_members(now)
+
+    async def _refresh(self) -> bool:
+        self._read_at = trio.current_time()
+        try:
+            stored = await self._store.get(KIND, NAME)
+        except PlatformUnavailableError as error:
+            logger.debug("member list not read: {}", error)
+            self._membership.ownership.note_platform(False, trio.current_time())
+            return False
+        self._membership.ownership.note_platform(True, trio.current_time())
+        if stored is None:
+            self._version, self._stored = CREATE_ONLY, MemberList()
+            return True
+        self._take(stored.value, stored.version)
+        return True
+
+    def _take(self, value: dict, version: int) -> None:
+        self._version = version
+        self._cursor = max(self._cursor, version)
+        self._stored = MemberList.model_validate(value)
+        if self._membership.adopt_members(self._stored, trio.current_time()):
+            self._publish(self._membership.members())
+
+    async def _watch(self) -> None:
+        try:
+            items, self._cursor = await self._store.watch(KIND, self._cursor, WATCH_TIMEOUT_S)
+        except PlatformUnavailableError as error:
+            logger.debug("member list not watched: {}", error)
+            self._membership.ownership.note_platform(False, trio.current_time())
+            await trio.sleep(STEP_INTERVAL_S * self._random.uniform(0.5, 1.5))
+            return
+        self._membership.ownership.note_platform(True, trio.current_time())
+        for item in items:
+            if item.name == NAME and not item.deleted:
+                self._take(item.value, item.version)
+
+    def _choose_change(self, now: float) -> MemberList | None:
+        members = self._membership.members()
+        if self._membership.is_leaving or self._stored is None:
+            return None
+        if not self._stored.members and not members.members:
+            return add_member(self._stored, self._own)
+        if not self._is_base(now):
+            return None
+        held = find_member(members, self._vm)
+        if held is not None and not self._describes_own(held):
+            return update_member(members, self._own)
+        lost = self._membership.list_lost_members(now, REMOVE_AFTER_S)
+        if lost and self._is_remover(lost):
+            return remove_member(members, lost[0])
+        if held is None and len(members.members) < MAX_SEATS:
+            return add_member(members, self._own)
+        return None
+
+    def _describes_own(self, held: Member) -> bool:
+        own = (self._own.incarnation, self._own.peer_address, self._own.data_centre)
+        return (held.incarnation, held.peer_address, held.data_centre) == own
+
+    def _is_remover(self, lost: tuple[VmId, ...]) -> bool:
+        """Whether this VM writes removals; one writer saves the others a conflict."""
+        living = [vm for vm in self._membership.view.vms if vm not in lost]
+        return not living or rank(KIND, living)[0] == self._vm
+
+    async def _choose_reset(self, now: float) -> MemberList | None:
+        """Return a new list if the members can never form a majority again.
+
+        That is the case when so many of their VMs no longer exist in the platform's list. It lags,
+        so the members must also have been silent for as long as any lost member.
+        """
+        members = self._membership.members()
+        if self._membership.has_majority(now) or not members.members:
+            self._no_contact_since = None
+            return None
+        if self._no_contact_since is None:
+            self._no_contact_since = now
+        if now - self._no_contact_since < REMOVE_AFTER_S or not self._is_in_step():
+            return None
+        try:
+            existing = {vm.id for vm in await self._store.list_vms()}
+        except PlatformUnavailableError:
+            return None
+        vanished = {VmId(m.vm) for m in members.members if m.vm not in existing}
+        if len(members.members) - len(vanished) >= self._membership.view.majority:
+            return None
+        logger.warning("members {} no longer exist; the list is started anew", sorted(vanished))
+        return replace_vanished(members, vanished, self._own)
+
+    async def _write(self, changed: MemberList) -> None:
+        value = changed.model_dump(mode="json")
+        try:
+            version = await self._store.put(KIND, NAME, value, self._version)
+        except ConflictError:
+            await self._refresh()
+        except PlatformUnavailableError as error:
+            # If the write took effect all the same, the next read finds it.
+            logger.info("member list not written: {}", error)
+            self._stored = None
+            self._version = max(self._version, CREATE_ONLY)
+        else:
+            logger.info("member list {}: {}", changed.epoch, [m.vm for m in changed.members])
+            self._take(value, version)
--- /dev/null
+++ b/libs/membership/src/zinnia_membership/membership.py
@@ -0,0 +1,193 @@
+"""What one VM knows about the members, its rights and the configuration."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from zinnia_membership.configuration import ConfigHolder
+from zinnia_membership.member_list import MemberListError, MemberRegistry, View, find_member
+from zinnia_membership.ownership import TAKEOVER_WAIT_S, Ownership
+from zinnia_membership.promises import Promises
+from zinnia_model.ids import ReplicaId, VmId
+from zinnia_model.members import Member, MemberList
+from zinnia_model.messages import FactRecord, Heartbeat, HeartbeatReply, SeatTransfer
+from zinnia_model.ownership import Standing
+
+HEARTBEAT_INTERVAL_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """What a heartbeat or a reply tells about its sender; the caller pulls what is newer there."""
+
+    members_differ: bool
+    config_is_newer: bool
+
+
+class Membership:
+    """Ties promises, ownership, member list and configuration of one VM together.
+
+    Pure: all methods take the time ``now`` in seconds of the runtime's clock.
+    """
+
+    def __init__(
+        self, vm: VmId, incarnation: str, now: float, takeover_wait_s: float = TAKEOVER_WAIT_S
+    ) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.promises = Promises(vm, incarnation, now)
+        self.ownership = Ownership(self.promises, takeover_wait_s)
+        self.configuration = ConfigHolder(vm)
+        self._registry = MemberRegistry()
+
+    def members(self) -> MemberList:
+        """Return the newest known member list."""
+        return self._registry.current
+
+    @property
+    def view(self) -> View:
+        """The holders of all seats."""
+        return self._registry.view
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this VM holds a seat."""
+        return self.vm in self.view.vms
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this VM has given up ownership for good."""
+        return self.promises.released
+
+    def adopt_members(self, members: MemberList, now: float) -> bool:
+        """Take over a newer member list; return whether the view changed."""
+        if not self._registry.adopt(members):
+            return False
+        self._follow(now)
+        return True
+
+    def make_heartbeat(self, peer: VmId, now: float, facts: Iterable[FactRecord] = ()) -> Heartbeat:
+        """Return the next heartbeat to a peer; it must be sent at ``now``."""
+        return Heartbeat(
+            self.vm,
+            self.incarnation,
+            self.view.epoch,
+            self.view.digest,
+            self.promises.note_sent(peer, now),
+            self.configuration.revision,
+            self.promises.released,
+            tuple(facts),
+        )
+
+    def receive_heartbeat(
+        self, message: Heartbeat, now: float, facts: Iterable[FactRecord] = ()
+    ) -> HeartbeatReply:
+        """Take a heartbeat and return the reply with this member's promises."""
+        self.configuration.heard(message.vm, message.config_revision, now)
+        grant = self.promises.given.answer(message, now)
+        return HeartbeatReply(
+            self.vm,
+            self.view.epoch,
+            self.view.digest,
+            message.sequence,
+            message.incarnation,
+            grant.alive,
+            grant.settled,
+            grant.dead,
+            self.configuration.revision,
+            tuple(facts),
+        )
+
+    def receive_reply(self, message: HeartbeatReply, now: float) -> Finding:
+        """Count the promises of a reply."""
+        if self.promises.receive(message, now):
+            self.configuration.heard(message.vm, message.config_revision, now)
+        self.tick(now)
+        return self.compare(message)
+
+    def compare(self, message: Heartbeat | HeartbeatReply) -> Finding:
+        """Return what the sender holds that this VM lacks."""
+        differ = message.view != self.view.digest and message.epoch >= self.view.epoch
+        return Finding(differ, message.config_revision > self.configuration.revision)
+
+    def tick(self, now: float) -> None:
+        """Renew own promises; called at least once per heartbeat interval."""
+        self.promises.tick(now)
+        self.ownership.tick(now)
+
+    def standing(self, replica: ReplicaId, now: float) -> Standing:
+        """Return whether this VM may send to a replica; to be asked before each send."""
+        return self.ownership.standing(replica, now)
+
+    def owner(self, replica: ReplicaId, now: float) -> VmId | None:
+        """Return the VM to forward sub-requests for a replica to."""
+        return self.ownership.owner(replica, now)
+
+    def has_majority(self, now: float) -> bool:
+        """Whether this VM has the promises of a majority, or answers of one if it has no seat."""
+        if self.is_member:
+            return self.promises.has_majority(now)
+        return self.promises.has_contact(now)
+
+    def is_ready(self, now: float) -> bool:
+        """Whether this VM may take requests."""
+        if self.is_leaving:
+            return False
+        return self.has_majority(now) and self.configuration.is_current(now)
+
+    def can_change_members(self, now: float) -> bool:
+        """Whether this VM has just heard the current view, and only it, from a majority.
+
+        Two changes in a row could otherwise leave two majorities without a common seat.
+        """
+        return self.promises.is_settled(now) and self.promises.has_contact(now)
+
+    def list_lost_members(self, now: float, for_s: float) -> tuple[VmId, ...]:
+        """Return the members who have been DEAD by a majority for ``for_s`` seconds."""
+        return tuple(
+            vm
+            for vm in self.view.vms
+            if self.promises.holds_dead(vm, now)
+            and now - self.promises.find_dead_since(vm) >= for_s
+        )
+
+    def begin_leave(self) -> None:
+        """Give up ownership for good; all requests in flight must have ended."""
+        self.promises.release()
+
+    def accept_handover(self, replicas: Iterable[ReplicaId], now: float) -> None:
+        """Note that the last owner has stopped sending to these replicas."""
+        self.ownership.accept_handover(replicas, now)
+
+    def transfer_seat(self, successor: Member, now: float) -> SeatTransfer:
+        """Hand the seat of this VM over; the message goes to all peers.
+
+        Raises
+        ------
+        MemberListError
+            If this VM has no seat or the successor has one.
+        """
+        held = find_member(self.members(), self.vm)
+        if held is None or find_member(self.members(), VmId(successor.vm)) is not None:
+            raise MemberListError(
+                f"seat of {self.vm} cannot go to {successor.vm}; choose a VM without a seat"
+            )
+        self.begin_leave()
+        update = {"seat": held.seat, "holder_version": held.holder_version + 1}
+        member = successor.model_copy(update=update)
+        transfer = SeatTransfer(self.members().epoch, self.vm, member)
+        self.receive_seat_transfer(transfer, now)
+        return transfer
+
+    def receive_seat_transfer(self, transfer: SeatTransfer, now: float) -> bool:
+        """Follow a seat to its next holder; return whether the view changed."""
+        if not self._registry.transfer(transfer):
+            return False
+        self._follow(now)
+        return True
+
+    def _follow(self, now: float) -> None:
+        gone = set(self.promises.view.vms) - set(self.view.vms)
+        self.promises.adopt(self.view, now)
+        self.configuration.follow(self.view)
+        for vm in gone:
+            self.configuration.forget(vm)
--- /dev/null
+++ b/libs/membership/src/zinnia_membership/ownership.py
@@ -0,0 +1,134 @@
+"""Decides which VM may send to a replica."""
+
+from collections.abc import Iterable
+
+from zinnia_membership.promises import SUSPECT_AFTER_S, Promises
+from zinnia_membership.rendezvous import RankCache
+from zinnia_model.ids import ReplicaId, VmId
+from zinnia_model.ownership import Standing
+
+# The longest that work of the last owner may still run on a backend server.
+TAKEOVER_WAIT_S = 1.0
+DEGRADED_AFTER_S = 10.0
+# A handover that came longer before the take-over than this belongs to an earlier change.
+HANDOVER_VALID_S = 3.0
+NEVER = float("-inf")
+
+
+class Ownership:
+    """The rights of this VM over replicas, derived from promises and rank."""
+
+    def __init__(self, promises: Promises, takeover_wait_s: float = TAKEOVER_WAIT_S) -> None:
+        self._promises = promises
+        self._takeover_wait_s = takeover_wait_s
+        self._ranks = RankCache()
+        self._ranks_with_former = RankCache()
+        self._handed: dict[ReplicaId, float] = {}
+        self._lost_majority_at: float | None = None
+        self._platform_lost_at: float | None = None
+
+    def standing(self, replica: ReplicaId, now: float) -> Standing:
+        """Return whether this VM may send to a replica at this moment."""
+        promises = self._promises
+        if promises.released or promises.vm not in promises.view.vms:
+            return Standing.NOT_OWNER
+        if not promises.has_majority(now):
+            return Standing.DEGRADED if self._is_degraded(replica, now) else Standing.NO_MAJORITY
+        since = promises.alive_since
+        for vm in self._rank(replica):
+            if vm == promises.vm:
+                break
+            if not promises.holds_dead(vm, now):
+                return Standing.NOT_OWNER
+            if not self._left_idle(vm):
+                since = max(since, promises.find_dead_since(vm))
+        if self._may_be_held_by_former(replica, now):
+            if not promises.is_settled(now):
+                return Standing.WAITING
+            since = max(since, promises.settled_since or now)
+        if now >= since + self._takeover_wait_s or self._was_handed(replica, since):
+            return Standing.OWNER
+        return Standing.WAITING
+
+    def owner(self, replica: ReplicaId, now: float) -> VmId | None:
+        """Return the VM to forward to: the highest-ranked one that is not known to be dead."""
+        for vm in self._rank(replica):
+            if vm == self._promises.vm:
+                if not self._promises.released:
+                    return vm
+            elif not self._is_gone(vm, now):
+                return vm
+        return None
+
+    def accept_handover(self, replicas: Iterable[ReplicaId], now: float) -> None:
+        """Note that the last owner has stopped sending to these replicas."""
+        for replica in replicas:
+            self._handed[replica] = now
+
+    def list_successors(self, replicas: Iterable[ReplicaId]) -> dict[ReplicaId, VmId]:
+        """Return the next owner of each replica, for the handover of a VM that leaves."""
+        successors = {}
+        for replica in replicas:
+            others = [vm for vm in self._rank(replica) if vm != self._promises.vm]
+            if others:
+                successors[replica] = others[0]
+        return successors
+
+    def note_platform(self, reachable: bool, now: float) -> None:
+        """Note whether the platform answers; degraded mode needs an outage."""
+        if reachable:
+            self._platform_lost_at = None
+        elif self._platform_lost_at is None:
+            self._platform_lost_at = now
+
+    def tick(self, now: float) -> None:
+        """Notice the loss of the majority and forget old handovers."""
+        if self._promises.has_majority(now):
+            self._lost_majority_at = now
+        self._handed = {
+            replica: at
+            for replica, at in self._handed.items()
+            if now - at <= HANDOVER_VALID_S + self._takeover_wait_s
+        }
+
+    def _rank(self, replica: ReplicaId) -> tuple[VmId, ...]:
+        return self._ranks.rank(replica, self._promises.view.vms)
+
+    def _may_be_held_by_former(self, replica: ReplicaId, now: float) -> bool:
+        """Whether an owner under an earlier view may still act until this view is settled."""
+        promises = self._promises
+        if not promises.has_followed:
+            return True
+        if not promises.former:
+            return False
+        ranked = self._ranks_with_former.rank(replica, (*promises.view.vms, *promises.former))
+        return any(
+            vm in promises.former and not promises.holds_dead(vm, now)
+            for vm in ranked[: ranked.index(promises.vm)]
+        )
+
+    def _left_idle(self, vm: VmId) -> bool:
+        released_at = self._promises.given.find_released_at(vm)
+        return abs(self._promises.find_dead_since(vm) - released_at) <= HANDOVER_VALID_S
+
+    def _was_handed(self, replica: ReplicaId, since: float) -> bool:
+        at = self._handed.get(replica)
+        if at is None:
+            return False
+        # Without a majority at the time of the handover another VM may have acted in between.
+        return at >= self._promises.alive_since and since - at <= HANDOVER_VALID_S
+
+    def _is_gone(self, vm: VmId, now: float) -> bool:
+        if self._promises.holds_dead(vm, now):
+            return True
+        if self._promises.has_majority(now) or self._promises.has_contact(now):
+            return False
+        return now - self._promises.given.find_heard_at(vm) > SUSPECT_AFTER_S
+
+    def _is_degraded(self, replica: ReplicaId, now: float) -> bool:
+        lost_at = self._lost_majority_at
+        if lost_at is None or self._platform_lost_at is None:
+            return False
+        if now - max(lost_at, self._platform_lost_at) < DEGRADED_AFTER_S:
+            return False
+        return self.owner(replica, now) == self._promises.vm
--- /dev/null
+++ b/libs/membership/src/zinnia_membership/promises.py
@@ -0,0 +1,309 @@
+"""Liveness promises between members; see docs/design.md section 2.1.
+
+A member holds at most one promise about another at a time: ALIVE or DEAD. Two majorities share a
+seat, so no VM can hold ALIVE from a majority while another holds DEAD about it from a majority.
+"""
+
+from dataclasses import dataclass
+
+from zinnia_membership.member_list import View
+from zinnia_model.ids import VmId
+from zinnia_model.messages import Heartbeat, HeartbeatReply
+
+PROMISE_DURATION_S = 1.5
+SUSPECT_AFTER_S = 1.0
+# Subtracted where a promise is counted, for clocks that run at different speeds: 500 ppm, the
+# limit of common clock discipline, is 0.75 ms in 1.5 s.
+CLOCK_MARGIN_S = 0.005
+# DEAD is renewed this long after a member was removed, so that its successor need not pause until
+# the new list is settled and the take-over wait after that has passed.
+RENEW_REMOVED_S = 4.0
+# Heartbeats that are older than a promise lasts cannot bring one any more.
+MAX_UNANSWERED = 16
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """What a member promises in one reply."""
+
+    alive: bool
+    settled: bool
+    dead: tuple[VmId, ...]
+
+
+class GivenPromises:
+    """The promises of this member about others, on its own clock."""
+
+    def __init__(self, vm: VmId, now: float) -> None:
+        self._vm = vm
+        self._view = View(0, 0, (), 0)
+        # Promises of an earlier run of this VM, or of the last holder of its seat, last so long.
+        self.gives_from = now + PROMISE_DURATION_S
+        self.settled_at = now + PROMISE_DURATION_S
+        # One promise for each VM: the incarnation that it was given to, and its end.
+        self._alive: dict[VmId, tuple[str, float]] = {}
+        self._dead_until: dict[VmId, float] = {}
+        self._heard_at: dict[VmId, float] = {}
+        self._released: dict[VmId, tuple[str, float]] = {}
+        self._removed_at: dict[VmId, float] = {}
+
+    def adopt(self, view: View, now: float) -> None:
+        """Follow a change of the member list."""
+        if self._vm in view.vms and self._vm not in self._view.vms:
+            self.gives_from = max(self.gives_from, now + PROMISE_DURATION_S)
+        self.settled_at = now + PROMISE_DURATION_S
+        for vm in view.vms:
+            if vm not in self._view.vms:
+                self._heard_at[vm] = max(now, self._heard_at.get(vm, NEVER))
+                self._removed_at.pop(vm, None)
+        for vm in self._view.vms:
+            if vm not in view.vms:
+                self._removed_at[vm] = now
+        self._view = view
+
+    def answer(self, heartbeat: Heartbeat, now: float) -> Grant:
+        """Take a heartbeat and return the promises of the reply to it."""
+        self._note_heard(heartbeat, now)
+        alive = self._give_alive(heartbeat, now)
+        return Grant(alive, now >= self.settled_at, self.renew_dead(now))
+
+    def renew_dead(self, now: float) -> tuple[VmId, ...]:
+        """Promise DEAD anew about all silent members and return them."""
+        if not self.can_give(now):
+            return ()
+        subjects = (*self._view.vms, *self._list_removed(now))
+        silent = tuple(vm for vm in subjects if vm != self._vm and self._is_silent(vm, now))
+        for vm in silent:
+            self._dead_until[vm] = now + PROMISE_DURATION_S
+        return silent
+
+    def can_give(self, now: float) -> bool:
+        """Whether this VM has a seat and is past the wait after its start."""
+        return self._vm in self._view.vms and now >= self.gives_from
+
+    def find_dead_until(self, vm: VmId) -> float:
+        """Return until when this member itself promises DEAD about a VM."""
+        return self._dead_until.get(vm, NEVER)
+
+    def find_released_at(self, vm: VmId) -> float:
+        """Return when a VM first said that it leaves, if nothing else was heard of it since."""
+        return self._released.get(vm, ("", NEVER))[1]
+
+    def find_heard_at(self, vm: VmId) -> float:
+        """Return when the last heartbeat of a VM came."""
+        return self._heard_at.get(vm, NEVER)
+
+    def _note_heard(self, heartbeat: Heartbeat, now: float) -> None:
+        vm = heartbeat.vm
+        if heartbeat.leaving and not self._is_released(heartbeat):
+            self._released[vm] = (heartbeat.incarnation, now)
+        if not self._is_released(heartbeat):
+            self._released.pop(vm, None)
+            self._heard_at[vm] = now
+            return
+        # The leaving incarnation holds no promise any more, so this member is free to say DEAD
+        # unless another incarnation of that VM holds one.
+        if self._alive.get(vm, ("", NEVER))[0] == heartbeat.incarnation:
+            del self._alive[vm]
+        self._heard_at[vm] = NEVER
+
+    def _is_released(self, heartbeat: Heartbeat) -> bool:
+        return self._released.get(heartbeat.vm, ("", NEVER))[0] == heartbeat.incarnation
+
+    def _give_alive(self, heartbeat: Heartbeat, now: float) -> bool:
+        vm = heartbeat.vm
+        if heartbeat.view != self._view.digest or vm not in self._view.vms:
+            return False
+        if not self.can_give(now) or self._is_released(heartbeat):
+            return False
+        if self._is_bound_to_dead(vm, now):
+            return False
+        # Two processes with the id of one VM must not both hold a majority.
+        if self._is_bound_to_alive(vm, now) and self._alive[vm][0] != heartbeat.incarnation:
+            return False
+        self._alive[vm] = (heartbeat.incarnation, now + PROMISE_DURATION_S)
+        return True
+
+    def _list_removed(self, now: float) -> tuple[VmId, ...]:
+        if not self._removed_at:
+            return ()
+        self._removed_at = {
+            vm: at for vm, at in self._removed_at.items() if now - at < RENEW_REMOVED_S
+        }
+        return tuple(self._removed_at)
+
+    def _is_silent(self, vm: VmId, now: float) -> bool:
+        if self._is_bound_to_alive(vm, now):
+            return False
+        return now - self._heard_at.get(vm, NEVER) >= SUSPECT_AFTER_S
+
+    def _is_bound_to_dead(self, vm: VmId, now: float) -> bool:
+        return self._dead_until.get(vm, NEVER) > now
+
+    def _is_bound_to_alive(self, vm: VmId, now: float) -> bool:
+        return self._alive.get(vm, ("", NEVER))[1] > now
+
+
+class Promises:
+    """The promises that this VM gives and those that it holds."""
+
+    def __init__(self, vm: VmId, incarnation: str, now: float) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.given = GivenPromises(vm, now)
+        self.view = View(0, 0, (), 0)
+        self.released = False
+        # Start of the unbroken time for which this VM has held ALIVE from a majority.
+        self.alive_since = now
+        # Members of earlier views who may still act on promises of that view.
+        self.former: set[VmId] = set()
+        # Whether this VM was a member of the last settled view and followed each change since.
+        self.has_followed = False
+        self.settled_since: float | None = None
+        self._sequence = 0
+        self._sent: dict[VmId, dict[int, float]] = {}
+        self._alive: dict[VmId, float] = {}
+        self._contact: dict[VmId, float] = {}
+        self._dead: dict[VmId, dict[VmId, float]] = {}
+        self._dead_since: dict[VmId, float] = {}
+        self._settled_by: set[VmId] = set()
+        # Kept because it is asked for before each send and changes only with replies.
+        self._alive_until: float | None = None
+
+    def adopt(self, view: View, now: float) -> None:
+        """Follow a change of the member list; held promises stay valid until they expire."""
+        was_member = self.vm in self.view.vms
+        follows = view.changes == self.view.changes + 1 and was_member
+        if self.settled_since is not None:
+            self.former = set()
+            self.has_followed = follows
+        else:
+            self.has_followed = self.has_followed and follows
+        self.former |= set(self.view.vms)
+        self.former -= set(view.vms)
+        self.view = view
+        self.settled_since = None
+        self._settled_by = set()
+        self._alive_until = None
+        self.given.adopt(view, now)
+
+    def release(self) -> None:
+        """Give up all held ALIVE promises for good, because this VM leaves."""
+        self.released = True
+        self._alive.clear()
+
+    def note_sent(self, peer: VmId, now: float) -> int:
+        """Record that a heartbeat is sent to a peer; return its sequence number."""
+        self._sequence += 1
+        sent = self._sent.setdefault(peer, {})
+        sent[self._sequence] = now
+        while len(sent) > MAX_UNANSWERED:
+            del sent[next(iter(sent))]
+        return self._sequence
+
+    def receive(self, reply: HeartbeatReply, now: float) -> bool:
+        """Count the promises of a reply; return False if it answers no heartbeat of this run."""
+        if reply.asker_incarnation != self.incarnation:
+            return False
+        sent_at = self._sent.get(reply.vm, {}).pop(reply.sequence, None)
+        if sent_at is None:
+            return False
+        if reply.view != self.view.digest or reply.vm not in self.view.vms:
+            return True
+        until = sent_at + PROMISE_DURATION_S - CLOCK_MARGIN_S
+        self._contact[reply.vm] = max(until, self._contact.get(reply.vm, NEVER))
+        self._count_settled(reply, now)
+        if reply.alive and not self.released:
+            self._count_alive(reply.vm, until, now)
+        for subject in reply.dead:
+            self._count_dead(subject, reply.vm, until, now)
+        return True
+
+    def tick(self, now: float) -> None:
+        """Renew own DEAD promises and notice what time alone has changed."""
+        for subject in self.given.renew_dead(now):
+            self._count_dead(subject, self.vm, self.given.find_dead_until(subject), now)
+        self._check_settled(now)
+
+    def has_majority(self, now: float) -> bool:
+        """Whether this VM holds ALIVE from a majority of the members, itself included."""
+        return self.find_alive_until(now) > now
+
+    def has_contact(self, now: float) -> bool:
+        """Whether a majority of the members answered lately, for a VM without a seat."""
+        if not self.view.vms:
+            return False
+        return self._find_majority_until(self._contact) > now
+
+    def find_alive_until(self, now: float) -> float:
+        """Return until when ALIVE from a majority is held; in the past if it is not held."""
+        if self.released or not self.given.can_give(now):
+            return NEVER
+        if self._alive_until is None:
+            self._alive_until = self._find_majority_until(self._alive)
+        return self._alive_until
+
+    def holds_dead(self, vm: VmId, now: float) -> bool:
+        """Whether DEAD about a VM is held from a majority of the members."""
+        return self._find_dead_until(vm) > now
+
+    def find_dead_since(self, vm: VmId) -> float:
+        """Return the start of the unbroken time for which DEAD about a VM has been held."""
+        return self._dead_since.get(vm, float("inf"))
+
+    def is_settled(self, now: float) -> bool:
+        """Whether no VM can hold promises of a majority under an earlier view."""
+        self._check_settled(now)
+        return self.settled_since is not None
+
+    def _count_settled(self, reply: HeartbeatReply, now: float) -> None:
+        if reply.settled:
+            self._settled_by.add(reply.vm)
+        elif reply.vm in self._settled_by:
+            # The member was restarted or came back from an older list.
+            self._settled_by.discard(reply.vm)
+            if self.settled_since is not None and not self._has_settled_majority(now):
+                self.settled_since = None
+                self.has_followed = False
+        self._check_settled(now)
+
+    def _has_settled_majority(self, now: float) -> bool:
+        own = self.vm in self.view.vms and now >= self.given.settled_at
+        return len(self._settled_by) + own >= self.view.majority
+
+    def _check_settled(self, now: float) -> None:
+        if self.settled_since is None and self._has_settled_majority(now):
+            self.settled_since = now
+
+    def _count_alive(self, peer: VmId, until: float, now: float) -> None:
+        had = self.has_majority(now)
+        self._alive[peer] = max(until, self._alive.get(peer, NEVER))
+        self._alive_until = None
+        if not had and self.has_majority(now):
+            self.alive_since = now
+
+    def _count_dead(self, subject: VmId, peer: VmId, until: float, now: float) -> None:
+        had = self.holds_dead(subject, now)
+        held = self._dead.setdefault(subject, {})
+        held[peer] = max(until, held.get(peer, NEVER))
+        if not had and self.holds_dead(subject, now):
+            self._dead_since[subject] = now
+
+    def _find_majority_until(self, held: dict[VmId, float]) -> float:
+        own = self.vm in self.view.vms
+        missing = self.view.majority - own
+        if missing == 0:
+            return float("inf")
+        untils = sorted(
+            (held.get(vm, NEVER) for vm in self.view.vms if vm != self.vm), reverse=True
+        )
+        return untils[missing - 1] if missing <= len(untils) else NEVER
+
+    def _find_dead_until(self, subject: VmId) -> float:
+        held = self._dead.get(subject)
+        if not held:
+            return NEVER
+        untils = sorted((held.get(vm, NEVER) for vm in self.view.vms), reverse=True)
+        missing = self.view.majority
+        return untils[missing - 1] if missing <= len(untils) else NEVER
--- a/libs/peers/src/zinnia_peers/codec.py
+++ b/libs/peers/src/zinnia_peers/codec.py
@@ -161,25 +161,24 @@
         m.Heartbeat,
         ("vm", _TEXT),
         ("incarnation", _TEXT),
-        ("epoch", _I64),
+        ("epoch", _I32),
         ("view", _I64),
-        ("sequence", _I64),
-        ("config_revision", _I64),
+        ("sequence", _I32),
+        ("config_revision", _I32),
         ("leaving", _BOOL),
         ("facts", _FACTS),
     ),
     m.HeartbeatReply: _make_struct(
         m.HeartbeatReply,
         ("vm", _TEXT),
-        ("incarnation", _TEXT),
-        ("epoch", _I64),
+        ("epoch", _I32),
         ("view", _I64),
-        ("sequence", _I64),
+        ("sequence", _I32),
         ("asker_incarnation", _TEXT),
         ("alive", _BOOL),
         ("settled", _BOOL),
         ("dead", _TEXTS),
-        ("config_revision", _I64),
+        ("config_revision", _I32),
         ("facts", _FACTS),
     ),
     m.SubmitBatch: _make_struct(m.SubmitBatch, ("batch", _BATCH)),
@@ -215,7 +214,10 @@
 }
 
 MESSAGE_TYPES = tuple(_STRUCTS)
-_BY_NAME = {kind.__name__.encode(): kind for kind in _STRUCTS}
+# Heartbeats are most of the control traffic, so their names on the wire are short.
+_SHORT_NAMES = {m.Heartbeat: b"hb", m.HeartbeatReply: b"hr"}
+_NAMES = {kind: _SHORT_NAMES.get(kind, kind.__name__.encode()) for kind in _STRUCTS}
+_BY_NAME = {name: kind for kind, name in _NAMES.items()}
 
 
 def _make_prefix(exchange: Exchange, name: bytes) -> bytes:
@@ -223,7 +225,7 @@
 
 
 _PREFIXES = {
-    (exchange, kind): _make_prefix(exchange, kind.__name__.encode())
+    (exchange, kind): _make_prefix(exchange, _NAMES[kind])
     for exchange in Exchange
     for kind in _STRUCTS
 }
