Do not count the cost of a new connection as service time

Cause: in the demo a good version was taken back at 100% (21 of 141 answers slower than the old p95): its replicas had just opened many connections, each of which costs 6 ms before the first answer. Ruled out: cold replicas (excluded already), a load difference between the versions' replicas. Change: the time of the first request on a connection is reduced by the configured connection cost.

--- a/libs/backends/src/zinnia_backends/attempts.py
+++ b/libs/backends/src/zinnia_backends/attempts.py
@@ -18,6 +18,7 @@
 
     ``deadline_at`` and ``sent_at`` are on the runtime's clock, in seconds; ``sent_at`` is 0 until
     the request is sent. ``start_id`` is the replica's last known start id at that time.
+    ``on_new_connection`` marks a time that may include the backend server's cost of a connection.
     """
 
     batch: Batch
@@ -30,6 +31,7 @@
     cold: bool = False
     sent_at: float = 0.0
     start_id: StartId = StartId("")
+    on_new_connection: bool = False
     connection: Connection | None = None
     watch: SilenceWatch | None = None
     scope: trio.CancelScope | None = None
--- a/libs/backends/src/zinnia_backends/learning.py
+++ b/libs/backends/src/zinnia_backends/learning.py
@@ -19,6 +19,18 @@
 MAX_LOST = 16
 
 
+def compute_service_time(replica: Replica, attempt: Attempt, now: float) -> float:
+    """Return the seconds that the request itself took, without the cost of its connection.
+
+    A version whose share has just grown opens many connections. With their cost of 6 ms counted, a
+    good version looked slower than the old one and was taken back.
+    """
+    elapsed_s = now - attempt.sent_at
+    if attempt.on_new_connection:
+        elapsed_s -= replica.config.connect_ms / 1000
+    return max(0.0, elapsed_s)
+
+
 class Learner:
     """Updates temperature, draining, crashes and observations.
 
@@ -41,7 +53,7 @@
         self, replica: Replica, attempt: Attempt, verdict: Verdict, now: float
     ) -> None:
         """Take the evidence of a matching response, before its attempt is released."""
-        service_time_s = now - attempt.sent_at
+        service_time_s = compute_service_time(replica, attempt, now)
         self._learn_start(replica, verdict.start_id, now, attempt.sent_at)
         self._judge_lost(replica, verdict.start_id, now)
         replica.version = verdict.version or replica.version
@@ -101,7 +113,8 @@
     def note_mismatch(self, replica: Replica, attempt: Attempt, now: float) -> None:
         """Count an answer of another request as a fault; it says nothing else."""
         replica.temperature.note_bad()
-        self.observe(replica, attempt, ObservedResult.FAULT, now - attempt.sent_at)
+        service_time_s = compute_service_time(replica, attempt, now)
+        self.observe(replica, attempt, ObservedResult.FAULT, service_time_s)
 
     def note_lost(self, replica: Replica, attempt: Attempt, crashed: bool, now: float) -> None:
         """Take a request whose connection broke after it was written."""
@@ -123,7 +136,7 @@
         above the slow limit counts: as a fault at the deadline, as a slow answer when a faster
         hedge made the caller cancel.
         """
-        waited_s = now - attempt.sent_at
+        waited_s = compute_service_time(replica, attempt, now)
         replica.temperature.note_bad()
         if waited_s <= SLOW_FACTOR * replica.temperature.times.median_s:
             return
--- a/libs/backends/src/zinnia_backends/sending.py
+++ b/libs/backends/src/zinnia_backends/sending.py
@@ -263,6 +263,7 @@
             self.refuse(replica, attempt, Reason.CONNECT_FAILED)
             return None
         connection.verified_at = trio.current_time()
+        attempt.on_new_connection = True
         replica.connect_cost.add(connection.verified_at - started_at)
         return connection
 
--- a/libs/membership/src/zinnia_membership/configuration.py
+++ b/libs/membership/src/zinnia_membership/configuration.py
@@ -78,6 +78,12 @@
         """Return the VMs that last told a lower revision than the held one."""
         return tuple(vm for vm, revision in self._revisions.items() if revision < self.revision)
 
+    def describe(self, vm: VmId, now: float) -> tuple[Revision, float]:
+        """Return the revision that a VM last told and the seconds since it was heard."""
+        if vm == self._vm:
+            return self.revision, 0.0
+        return self._revisions.get(vm, Revision(0)), now - self._heard_at.get(vm, NEVER)
+
     def forget(self, vm: VmId) -> None:
         """Drop what a VM told that is gone; its document may have gone with it."""
         self._revisions.pop(vm, None)
--- a/libs/membership/src/zinnia_membership/membership.py
+++ b/libs/membership/src/zinnia_membership/membership.py
@@ -134,6 +134,10 @@
             return False
         return self.has_majority(now) and self.configuration.is_current(now)
 
+    def is_degraded(self, now: float) -> bool:
+        """Whether this VM serves without a majority, in a long outage of the platform."""
+        return not self.is_leaving and self.is_member and self.ownership.is_degraded(now)
+
     def can_change_members(self, now: float) -> bool:
         """Whether this VM has just heard the current view, and only it, from a majority.
 
--- a/libs/membership/src/zinnia_membership/ownership.py
+++ b/libs/membership/src/zinnia_membership/ownership.py
@@ -33,7 +33,9 @@
         if promises.released or promises.vm not in promises.view.vms:
             return Standing.NOT_OWNER
         if not promises.has_majority(now):
-            return Standing.DEGRADED if self._is_degraded(replica, now) else Standing.NO_MAJORITY
+            if self.is_degraded(now) and self.owner(replica, now) == promises.vm:
+                return Standing.DEGRADED
+            return Standing.NO_MAJORITY
         since = promises.alive_since
         for vm in self._rank(replica):
             if vm == promises.vm:
@@ -125,10 +127,11 @@
             return False
         return now - self._promises.given.find_heard_at(vm) > SUSPECT_AFTER_S
 
-    def _is_degraded(self, replica: ReplicaId, now: float) -> bool:
+    def is_degraded(self, now: float) -> bool:
+        """Return whether majority and platform have both been away for long."""
+        if self._promises.has_majority(now):
+            return False
         lost_at = self._lost_majority_at
         if lost_at is None or self._platform_lost_at is None:
             return False
-        if now - max(lost_at, self._platform_lost_at) < DEGRADED_AFTER_S:
-            return False
-        return self.owner(replica, now) == self._promises.vm
+        return now - max(lost_at, self._platform_lost_at) >= DEGRADED_AFTER_S
--- a/libs/releases/src/zinnia_releases/hours.py
+++ b/libs/releases/src/zinnia_releases/hours.py
@@ -26,8 +26,8 @@
     Raises
     ------
     HourError
-        The text is not ``YYYY-MM-DD HH:MM`` or ``YYYY-MM-DD HH:MM:SS``, the zone is unknown, or the clock shows this time
-        never or twice because of a clock change.
+        The text is not ``YYYY-MM-DD HH:MM`` or ``YYYY-MM-DD HH:MM:SS``, the zone is unknown, or the
+        clock shows this time never or twice because of a clock change.
     """
     zone = find_zone(zone_name)
     naive = _parse_local(local)
