--- a/programs/daemon/src/zinniarouterd/node.py
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -59,13 +59,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Seams:
-    """What a daemon meets outside of its process; tests give fakes."""
+    """What a daemon meets outside of its process; tests give fakes.
+
+    ``listen`` is false where a test connects peers to `PeerServer.serve_stream` itself.
+    """
 
     store: ObjectStore
     limiter: CallLimiter
     connector: Connector
     connect: Connect = connect_tcp
     wall_ms: Callable[[], int] = read_wall_ms
+    listen: bool = True
 
 
 class Node:
@@ -313,7 +317,8 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.dispatcher.run)
             await nursery.start(self.claims.run)
-            await nursery.start(self.server.serve)
+            if self.seams.listen:
+                await nursery.start(self.server.serve)
             await nursery.start(self.heartbeats.run)
             nursery.start_soon(self.watch.run)
             nursery.start_soon(keeper.run)
