Keeper writes only on a list that it has read

Cause: after a write without a reply the keeper kept a version that it did not know to be current. Change: the keeper forgets the stored list after such a write and takes no step until the next read; two conditions that this makes redundant are gone.

--- a/libs/membership/src/zinnia_membership/keeper.py
+++ b/libs/membership/src/zinnia_membership/keeper.py
@@ -79,7 +79,7 @@
         now = trio.current_time()
         if self._needs_read(now):
             await self._refresh()
-        if self._stored is None and self._version != CREATE_ONLY:
+        if self._stored is None:
             return
         changed = self._choose_change(trio.current_time())
         if changed is None:
@@ -171,7 +171,7 @@
 
     def _choose_change(self, now: float) -> MemberList | None:
         members = self._membership.members()
-        if self._membership.is_leaving or self._stored is None:
+        if self._membership.is_leaving:
             return None
         if not self._stored.members and not members.members:
             return add_member(self._stored, self._own)
@@ -230,7 +230,6 @@
             # If the write took effect all the same, the next read finds it.
             logger.info("member list not written: {}", error)
             self._stored = None
-            self._version = max(self._version, CREATE_ONLY)
         else:
             logger.info("member list {}: {}", changed.epoch, [m.vm for m in changed.members])
             self._take(value, version)
