--- /dev/null
+++ b/libs/backends/src/zinnia_backends/crashes.py
@@ -0,0 +1,107 @@
+"""Requests that crash backend servers, counted over the fleet (pure on the fact table)."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from pydantic import BaseModel, ConfigDict
+
+from zinnia_facts.table import Cursor, Fact, FactKind, FactTable
+from zinnia_model.ids import Fingerprint, ReplicaId, StartId, VmId
+
+CRASH_TTL_S = 3600.0
+REFUSED_CRASHES = 2
+
+
+class CrashStatus(Enum):
+    """How a request is treated because of crashes."""
+
+    NORMAL = "normal"
+    SUSPECT = "suspect"
+    REFUSED = "refused"
+
+
+class CrashRecord(BaseModel):
+    """Value of ``CRASH`` and ``SUSPECT_CLEARED`` facts; one start of a replica crashes once."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    fingerprint: str
+    replica: str
+    start_id: str
+
+
+class CrashRegistry:
+    """Counts distinct crashes for each fingerprint.
+
+    A crash counts until a ``SUSPECT_CLEARED`` fact names it or an hour has passed. Both kinds of
+    facts only grow and are merged as sets, so all VMs reach the same verdict in any order.
+    """
+
+    def __init__(self, facts: FactTable, publish: Callable[[Fact], None], vm: VmId):
+        self._facts = facts
+        self._publish = publish
+        self._vm = vm
+        self._cursor = Cursor(0)
+        self._crashes: dict[str, dict[CrashRecord, float]] = {}
+        self._cleared: dict[CrashRecord, float] = {}
+
+    def record_crash(
+        self, fingerprint: Fingerprint, replica: ReplicaId, start_id: StartId, now: float
+    ) -> None:
+        """Count a crash of the replica's start ``start_id`` and tell all VMs."""
+        known = start_id or f"unknown-{now:.3f}"
+        record = CrashRecord(fingerprint=fingerprint, replica=replica, start_id=known)
+        self._store(FactKind.CRASH, record, now)
+
+    def record_answer(self, fingerprint: Fingerprint, now: float) -> None:
+        """Clear a suspect that got an answer; a refused request stays refused."""
+        if self.status(fingerprint, now) is not CrashStatus.SUSPECT:
+            return
+        for record in self._list_open(fingerprint, now):
+            self._store(FactKind.SUSPECT_CLEARED, record, now)
+
+    def status(self, fingerprint: Fingerprint, now: float) -> CrashStatus:
+        """Return the verdict of the fleet as far as this VM knows its facts."""
+        if self._facts.cursor != self._cursor:
+            self._read_changes(now)
+        if fingerprint not in self._crashes:
+            return CrashStatus.NORMAL
+        count = len(self._list_open(fingerprint, now))
+        if count >= REFUSED_CRASHES:
+            return CrashStatus.REFUSED
+        return CrashStatus.SUSPECT if count else CrashStatus.NORMAL
+
+    def _list_open(self, fingerprint: Fingerprint, now: float) -> list[CrashRecord]:
+        crashes = self._crashes.get(fingerprint, {})
+        return [
+            record
+            for record, expires_at in crashes.items()
+            if expires_at > now and self._cleared.get(record, now) <= now
+        ]
+
+    def _store(self, kind: FactKind, record: CrashRecord, now: float) -> None:
+        subject = f"{record.fingerprint}/{record.replica}/{record.start_id}"
+        fact = Fact(kind, subject, self._vm, 1, record.model_dump_json(), CRASH_TTL_S)
+        self._facts.put(fact, now)
+        self._publish(fact)
+
+    def _read_changes(self, now: float) -> None:
+        changes, self._cursor = self._facts.changes_since(self._cursor, now)
+        for fact in changes:
+            if fact.kind is FactKind.CRASH:
+                record = CrashRecord.model_validate_json(fact.value)
+                crashes = self._crashes.setdefault(record.fingerprint, {})
+                crashes[record] = max(crashes.get(record, 0.0), now + fact.ttl_s)
+            elif fact.kind is FactKind.SUSPECT_CLEARED:
+                record = CrashRecord.model_validate_json(fact.value)
+                self._cleared[record] = max(self._cleared.get(record, 0.0), now + fact.ttl_s)
+
+    def expire(self, now: float) -> None:
+        """Forget crashes whose hour has passed."""
+        for fingerprint, crashes in list(self._crashes.items()):
+            live = {record: at for record, at in crashes.items() if at > now}
+            if live:
+                self._crashes[fingerprint] = live
+            else:
+                del self._crashes[fingerprint]
+        self._cleared = {record: at for record, at in self._cleared.items() if at > now}
--- /dev/null
+++ b/libs/backends/src/zinnia_backends/estimates.py
@@ -0,0 +1,41 @@
+"""Running estimates of service times and connect cost."""
+
+from bisect import bisect_left, insort
+from collections import deque
+
+WINDOW = 64  # answers; a new median takes over within half of this
+CONNECT_WEIGHT = 0.2  # share of the newest measurement in the mean
+
+
+class ServiceTimes:
+    """The median of the last ``WINDOW`` service times of one replica, in seconds."""
+
+    def __init__(self) -> None:
+        self._recent: deque[float] = deque()
+        self._sorted: list[float] = []
+
+    def __len__(self) -> int:
+        return len(self._recent)
+
+    def add(self, seconds: float) -> None:
+        """Add one service time and forget the oldest beyond the window."""
+        self._recent.append(seconds)
+        insort(self._sorted, seconds)
+        if len(self._recent) > WINDOW:
+            del self._sorted[bisect_left(self._sorted, self._recent.popleft())]
+
+    @property
+    def median_s(self) -> float:
+        """The median in seconds; 0 before the first answer."""
+        return self._sorted[len(self._sorted) // 2] if self._sorted else 0.0
+
+
+class ConnectCost:
+    """Moving mean of the time that a new connection takes, in seconds."""
+
+    def __init__(self, expected_s: float):
+        self.mean_s = expected_s
+
+    def add(self, seconds: float) -> None:
+        """Add one measurement."""
+        self.mean_s += CONNECT_WEIGHT * (seconds - self.mean_s)
