--- a/libs/backends/src/zinnia_backends/upkeep.py
+++ b/libs/backends/src/zinnia_backends/upkeep.py
@@ -48,17 +48,17 @@
     async def run(self, nursery: trio.Nursery) -> None:
         """Tick and sweep until cancelled."""
         self._nursery = nursery
-        swept_at = expired_at = trio.current_time()
+        sweep_at = expire_at = trio.current_time()
         while True:
-            await self._wait(swept_at + SWEEP_S)
+            await self._wait(sweep_at)
             now = trio.current_time()
             if self._sender.attempts:
                 self._tick(now)
-            if now - swept_at >= SWEEP_S:
-                swept_at = now
+            if now >= sweep_at:
+                sweep_at = now + SWEEP_S
                 self._sweep(now)
-            if now - expired_at >= EXPIRY_INTERVAL_S:
-                expired_at = now
+            if now >= expire_at:
+                expire_at = now + EXPIRY_INTERVAL_S
                 self._crashes.expire(now)
 
     async def _wait(self, sweep_at: float) -> None:
