--- a/libs/routing/src/zinnia_routing/plan.py
+++ b/libs/routing/src/zinnia_routing/plan.py
@@ -41,9 +41,12 @@
     data_centres: dict[DataCentreId, float | None] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Target:
-    """A chosen replica and the VM that sends to it."""
+    """A chosen replica and the VM that sends to it.
+
+    It is not frozen, because the creation of a frozen one takes several times as long.
+    """
 
     replica: ReplicaId
     owner: VmId
@@ -76,6 +79,7 @@
         self._random = random
         self._outstanding = outstanding
         self._shares = VersionShares()
+        self._data_centres: dict[ServiceId, tuple[ShardMap, list[DataCentreId]]] = {}
 
     def pin(
         self, service: ServiceId, shard_map: ShardMap, shard: ShardId | None, now: float
@@ -108,7 +112,7 @@
             pinned.base,
             pinned.versions,
         )
-        self._weigh_data_centres(again, now)
+        self._weigh_data_centres(again, shard_map, now)
         return again
 
     def refresh(self, pinned: Pinned, now: float) -> None:
@@ -182,17 +186,23 @@
                 return True
         return False
 
-    def _weigh_data_centres(self, pinned: Pinned, now: float) -> None:
+    def _weigh_data_centres(self, pinned: Pinned, shard_map: ShardMap, now: float) -> None:
         """Decide for each data centre whether this query may prefer it.
 
         A returning data centre takes part in a fraction of the queries equal to its weight and is
         the last resort in the others.
         """
-        places = pinned.data_centres
-        for records in pinned.shards.values():
-            for record in records:
-                if record.data_centre not in places:
-                    places[record.data_centre] = self._weigh(record.data_centre, now)
+        for data_centre in self._list_data_centres(pinned.service, shard_map):
+            pinned.data_centres[data_centre] = self._weigh(data_centre, now)
+
+    def _list_data_centres(self, service: ServiceId, shard_map: ShardMap) -> list[DataCentreId]:
+        """Return the data centres of a map, sorted; the list is kept until another map comes."""
+        known = self._data_centres.get(service)
+        if known is None or known[0] is not shard_map:
+            replicas = shard_map.list_replicas().values()
+            names = sorted({DataCentreId(record.data_centre) for record in replicas})
+            known = self._data_centres[service] = (shard_map, names)
+        return known[1]
 
     def _weigh(self, data_centre: DataCentreId, now: float) -> float | None:
         weight = self._topology.data_centre_weight(data_centre, now)
