Fake backend server answers JSON, as shards do

Cause: the dispatcher now takes a body that is not JSON as a fault; the fake answered plain text. Replaces the fake's body with JSON; no check changes.

--- a/libs/backends/tests/fakes.py
+++ b/libs/backends/tests/fakes.py
@@ -99,7 +99,7 @@
             raise ConnectionLostError("lost")
         echoed = {name: headers[name] for name in (b"x-attempt-id", b"x-shard", b"x-snapshot")}
         echoed[b"x-start-id"] = backend.start_id.encode()
-        return WireResponse(backend.status, {**echoed, **backend.headers}, b"body")
+        return WireResponse(backend.status, {**echoed, **backend.headers}, b'{"shard":"0"}')
 
     def is_reusable(self):
         return not (self.closed or self.broken or self.busy)
