Say not run about a key only if no attempt with it ran

Cause: during an outage a copy on a VM without memory of the key got NOT_RUN although an earlier copy had run elsewhere; the promise allows that answer only if nothing ran. Change: without the record an attempt that was never sent ends UNKNOWN; a caller that has never sent the key says so with Idempotency-First: true and gets NOT_RUN. Tests: the check that excluded such answers is stricter now (no exclusion but another body's key); two tests expect UNKNOWN instead of NOT_RUN; one new test fails on the code before. Ruled out: asking all peers, which cannot answer for VMs that were replaced.

--- a/libs/claims/src/zinnia_claims/attempts.py
+++ b/libs/claims/src/zinnia_claims/attempts.py
@@ -38,7 +38,11 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One attempt to run a request; ``base_version`` is the version that its claim replaces."""
+    """One attempt to run a request; ``base_version`` is the version that its claim replaces.
+
+    ``record_known`` tells that no other attempt with the key and body ran, because this one holds
+    the record or the record belongs to another body.
+    """
 
     name: str
     record: ClaimRecord
@@ -46,6 +50,7 @@
     hold: Hold = Hold.NONE
     base_version: int = 0
     version: int = 0
+    record_known: bool = False
     result: CommandResult | None = None
     settled_at: float = 0.0
     finished: trio.Event = field(default_factory=trio.Event)
--- a/libs/claims/src/zinnia_claims/claims.py
+++ b/libs/claims/src/zinnia_claims/claims.py
@@ -128,11 +128,18 @@
         fingerprint: Fingerprint,
         deadline_at: float,
         send: Send,
+        is_first: bool = False,
     ) -> CommandResult:
         """Run a request unless an attempt with its key ran or may have run.
 
+        The result is NOT_RUN only if no attempt with the key has run. While the platform does not
+        tell of earlier attempts, the outcome of an attempt that was not sent is therefore UNKNOWN,
+        unless the caller says that it is the first one.
+
         Parameters
         ----------
+        is_first : bool
+            Whether the caller has never sent this key before.
         deadline_at : float
             Time of the runtime's clock in seconds. ``send`` keeps to it on its own.
         send : callable
@@ -143,7 +150,9 @@
             attempt = self._book.find_open(name)
             if attempt is None:
                 attempt = self._open_attempt(name, fingerprint)
-                return await self._execute(attempt, _Command(service, key, deadline_at), send)
+                command = _Command(service, key, deadline_at)
+                result = await self._execute(attempt, command, send)
+                return result if is_first else _judge_earlier(attempt, result)
             with trio.move_on_at(deadline_at):
                 await attempt.finished.wait()
             if not attempt.finished.is_set():
@@ -240,6 +249,7 @@
                 return DEADLINE_PASSED
             write = await self._write_claim(attempt, version, command.deadline_at)
             if write.effect is WriteEffect.TOOK_EFFECT:
+                attempt.record_known = True
                 return None
             if write.effect is WriteEffect.CANNOT_TELL:
                 return UNCONFIRMED
@@ -294,6 +304,7 @@
             return CREATE_ONLY
         record = ClaimRecord.model_validate(stored.value)
         if record.fingerprint != attempt.record.fingerprint:
+            attempt.record_known = True
             return KEY_REUSED
         if record.state is ClaimState.RELEASED:
             return stored.version
@@ -334,6 +345,17 @@
     return unavailable and write.effect is WriteEffect.DID_NOT
 
 
+def _judge_earlier(attempt: Attempt, result: CommandResult) -> CommandResult:
+    """Return UNKNOWN instead of NOT_RUN if an earlier attempt with the key may have run."""
+    if result.outcome is not Outcome.NOT_RUN or attempt.record_known:
+        return result
+    message = (
+        "this attempt was not sent, but the platform does not tell whether an earlier one with the "
+        "key ran; query the outcome by key later"
+    )
+    return CommandResult(Outcome.UNKNOWN, result.reason, message=message)
+
+
 def _judge_interrupted(attempt: Attempt, reason: Reason) -> CommandResult:
     if attempt.phase is Phase.SENDING:
         message = "the attempt was interrupted after it was sent; query the outcome by key"
--- a/libs/claims/tests/test_claims.py
+++ b/libs/claims/tests/test_claims.py
@@ -18,8 +18,6 @@
 ANSWERED = CommandResult(Outcome.ANSWERED, body=b'{"id": 1}')
 REFUSED = CommandResult(Outcome.NOT_RUN, Reason.OVERLOADED)
 EPOCH_S = 1.7e9
-# A copy that could not read the record cannot know of other attempts; it speaks only for itself.
-BLIND = {Reason.CLAIMS_UNAVAILABLE, Reason.DEADLINE}
 
 
 class HookedStore(FakeObjectStore):
@@ -78,7 +76,9 @@
         vm = self.vms[name]
         return vm.claims.answer_holder_query(service, key, attempt_id) if vm.reachable else None
 
-    async def copy(self, name, key="k", limit_s=2.0, result=ANSWERED, send_s=0.05, body="b"):
+    async def copy(
+        self, name, key="k", limit_s=2.0, result=ANSWERED, send_s=0.05, body="b", is_first=False
+    ):
         """Run one copy of a request on a VM and check the truth of what it returns."""
         vm, sent = self.vms[name], []
 
@@ -97,12 +97,13 @@
                 Fingerprint(body),
                 trio.current_time() + limit_s,
                 send,
+                is_first,
             )
             self.results[key].append(answer)
             if answer.outcome is Outcome.NOT_RUN:
                 if sent:
                     self.violations.append(("not run, but this copy was sent", answer))
-                if self.ran[key] and answer.reason not in BLIND | {Reason.KEY_REUSE}:
+                if self.ran[key] and answer.reason is not Reason.KEY_REUSE:
                     self.violations.append(("not run, but another copy was sent", answer))
             return answer
 
@@ -170,7 +171,7 @@
             world.core.set_faults({"lose_replies": -1, "late_write_s": 3.0})
             unconfirmed = await world.copy("vm-1")
             self.assertEqual(
-                (Outcome.NOT_RUN, Reason.CLAIMS_UNAVAILABLE),
+                (Outcome.UNKNOWN, Reason.CLAIMS_UNAVAILABLE),
                 (unconfirmed.outcome, unconfirmed.reason),
             )
             world.core.set_faults({"lose_replies": 0})
@@ -185,20 +186,33 @@
             await world.copy("vm-1", result=REFUSED)
             await trio.sleep(1)
             world.core.set_faults({"lose_replies": -1, "late_write_s": 300.0})
-            self.assertIs(Outcome.NOT_RUN, (await world.copy("vm-2")).outcome)
+            self.assertIs(Outcome.UNKNOWN, (await world.copy("vm-2")).outcome)
             world.core.set_faults({"lose_replies": 0})
             await trio.sleep(600)
             self.assertEqual(ANSWERED, await world.copy("vm-1"))
 
         run_world(check)
 
-    def test_platform_outage_refuses_as_not_run_and_keeps_results_for_later(self):
+    def test_copy_on_another_vm_in_an_outage_does_not_deny_the_run(self):
+        """Guards against "not run" about a request that ran on a VM the copy cannot ask."""
+
+        async def check(world):
+            await world.copy("vm-1")
+            world.core.set_faults({"outage": True})
+            self.assertIs(Outcome.UNKNOWN, (await world.copy("vm-2")).outcome)
+
+        run_world(check)
+
+    def test_platform_outage_refuses_and_keeps_results_for_later(self):
         async def check(world):
             world.nursery.start_soon(world.copy, "vm-1", "k", 5.0, ANSWERED, 1.0)
             await trio.sleep(0.5)
             world.core.set_faults({"outage": True})
             refused = await world.copy("vm-1", "new")
-            self.assertEqual(Outcome.NOT_RUN, refused.outcome)
+            self.assertEqual(Outcome.UNKNOWN, refused.outcome)
+            first = await world.copy("vm-1", "first", is_first=True)
+            self.assertEqual(Outcome.NOT_RUN, first.outcome)
+            self.assertEqual(0, world.ran["new"] + world.ran["first"])
             await trio.sleep(3600)
             self.assertEqual(ANSWERED, await world.copy("vm-1"))
             world.core.set_faults({"outage": False})
--- a/programs/daemon/src/zinniarouterd/callers.py
+++ b/programs/daemon/src/zinniarouterd/callers.py
@@ -39,6 +39,7 @@
 from zinniarouterd.web import WebRequest, WebResponse, make_json
 
 OUTCOMES_PATH = "/v1/outcomes/"
+FIRST_ATTEMPT_HEADER = b"idempotency-first"
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,7 @@
     deadline_at: float
     body: bytes
     trace: RequestTrace
+    is_first: bool
 
 
 class CallerInterface:
@@ -162,7 +164,8 @@
             )
         body = json.dumps(request.body, separators=(",", ":")).encode()
         deadline_at = now + request.deadline_ms / 1000
-        return _Arrival(request, request_id, route.repeatable, deadline_at, body, trace)
+        is_first = web.headers.get(FIRST_ATTEMPT_HEADER) == b"true"
+        return _Arrival(request, request_id, route.repeatable, deadline_at, body, trace, is_first)
 
     async def _run_query(self, arrival: _Arrival, key: str | None) -> WebResponse:
         if not arrival.repeatable:
@@ -192,6 +195,7 @@
             query.fingerprint,
             arrival.deadline_at,
             lambda attempt_id: self._send_command(arrival, key, attempt_id),
+            arrival.is_first,
         )
         arrival.trace.add(trio.current_time(), "claim_settled", result.outcome.value)
         if result.outcome is not Outcome.ANSWERED:
