Give each run a block of ports of its own

Cause: pick_ports released its ports before the processes listened on them. Two runs that started at the same time, or an outgoing connection, could take one; the stand-in then ended at its start (seen in 2 of 2 simultaneous starts of two scenario tiers; the stand-in's log names only the error group, so that the port was taken is inferred from the code). Change: a run takes blocks below the range of outgoing connections and keeps the first port of each bound while its process lives. Alternative ruled out: random ports below that range; two runs of 230 ports would still share 2.6 ports on average.

--- a/programs/measure/src/zinnia_measure/deployment.py
+++ b/programs/measure/src/zinnia_measure/deployment.py
@@ -1,5 +1,6 @@
 """Lays out one run: ports, settings files, stand-ins, configuration and shard maps."""
 
+import random
 import socket
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -9,6 +10,9 @@
 from zinnia_measure.sizes import DeploymentSize, ServiceSize
 
 LOOPBACK = "127.0.0.1"
+# Linux takes the ports of outgoing connections from 32768 up by default.
+BLOCK_SIZE = 500
+PORT_BLOCKS = range(12_000, 32_000, BLOCK_SIZE)
 FIRST_SNAPSHOT = "s1"
 OLD_VERSION = "v1"
 NEW_VERSION = "v2"
@@ -16,6 +20,8 @@
 MEDIAN_MS = 5.0
 SIGMA = 0.2
 
+_guards: list[socket.socket] = []
+
 
 @dataclass(frozen=True, slots=True)
 class DaemonPlan:
@@ -57,15 +63,42 @@
 
 
 def pick_ports(count: int) -> list[int]:
-    """Return free ports; all are held open until the last is known, so none repeats."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return free ports that no other run on this machine gets while this process lives.
+
+    The first port of a block stays bound as the sign that the block is taken. The blocks lie below
+    the ports of outgoing connections, which may take any port before its process listens on it.
+    """
+    ports: list[int] = []
+    starts = random.Random().sample(PORT_BLOCKS, len(PORT_BLOCKS))
+    while starts and len(ports) < count:
+        start = starts.pop()
+        guard = bind_port(start)
+        if guard is None:
+            continue
+        _guards.append(guard)
+        ports += [port for port in range(start + 1, start + BLOCK_SIZE) if is_free(port)]
+    if len(ports) < count:
+        raise RuntimeError(f"no {count} free ports in {PORT_BLOCKS}; end other runs first")
+    return ports[:count]
+
+
+def bind_port(port: int) -> socket.socket | None:
+    """Return a socket that is bound to a port of loopback, None if the port is taken."""
+    bound = socket.socket()
     try:
-        for held in sockets:
-            held.bind((LOOPBACK, 0))
-        return [held.getsockname()[1] for held in sockets]
-    finally:
-        for held in sockets:
-            held.close()
+        bound.bind((LOOPBACK, port))
+    except OSError:
+        bound.close()
+        return None
+    return bound
+
+
+def is_free(port: int) -> bool:
+    """Return whether nothing is bound to a port at this moment."""
+    bound = bind_port(port)
+    if bound is not None:
+        bound.close()
+    return bound is not None
 
 
 def plan_run(
