Log readiness only when it changes

Cause: None meant both 'ready' and 'nothing reported yet', so a ready daemon logged the event every second. Change: a value of its own stands for the state before the first report.

--- a/programs/daemon/src/zinniarouterd/service.py
+++ b/programs/daemon/src/zinniarouterd/service.py
@@ -20,6 +20,8 @@
 GAUGE_INTERVAL_S = 1.0
 KEEP_ALIVE_S = 60
 HTTP_STOP_S = 2.0
+# None means ready, so the state before the first report needs a value of its own.
+UNREPORTED = object()
 
 
 async def serve(settings: Settings) -> None:
@@ -98,7 +100,7 @@
 
 async def update_gauges(node: Node) -> None:
     """Refresh the gauges every second and log each change of readiness."""
-    metrics, was = node.metrics, None
+    metrics, was = node.metrics, UNREPORTED
     while True:
         obstacle = node.gate.find_obstacle()
         metrics.ready.set(obstacle is None)
@@ -112,7 +114,7 @@
             ):
                 metrics.peer_bytes.labels(plane, direction.value).set(count.frame_bytes)
         metrics.note_platform_calls(node.seams.limiter)
-        if obstacle is not was or was is None:
+        if obstacle is not was:
             logger.bind(ready=obstacle is None, reason=obstacle and obstacle.value).info(
                 "readiness"
             )
