Keep a joining member in service as a forwarder

Cause: a VM without a seat forwards requests. Once it gets its seat it gives no promise for 1.5 s, holds no majority for that time, and refused requests with no_majority although it was ready before. Change: until it may give promises, readiness asks for contact with a majority, as for an observer. Ownership is unchanged: standing still asks for ALIVE from a majority.

--- a/libs/membership/src/zinnia_membership/membership.py
+++ b/libs/membership/src/zinnia_membership/membership.py
@@ -130,9 +130,12 @@
 
     def is_ready(self, now: float) -> bool:
         """Whether this VM may take requests."""
-        if self.is_leaving:
+        if self.is_leaving or not self.configuration.is_current(now):
             return False
-        return self.has_majority(now) and self.configuration.is_current(now)
+        if self.is_member and not self.promises.given.can_give(now):
+            # A new member may not act as owner yet; until then it forwards, as it did before.
+            return self.promises.has_contact(now)
+        return self.has_majority(now)
 
     def is_degraded(self, now: float) -> bool:
         """Whether this VM serves without a majority, in a long outage of the platform."""
