Wait for a change of owner within the deadline

Cause: an owner's refusal (shutting_down, no_majority, owner_waiting, not_owner, owner_unreachable) used up one of the two retries of a shard, and a shard without another replica was given up 0.25 s after its last failure. In a planned stop both replicas of some shards refuse for 0.2 s to 2.5 s, so queries with seconds left lost those shards after 0.07 s. The same holds for commands. Alternative ruled out: more retries for all reasons, which would load backend servers.

--- a/libs/routing/src/zinnia_routing/commands.py
+++ b/libs/routing/src/zinnia_routing/commands.py
@@ -134,11 +134,13 @@
         reason = result.reason or Reason.INTERNAL
         if reason is Reason.SNAPSHOT_GONE:
             return self._replan()
-        if self._state.retries >= self._context.choice.max_retries:
+        owner_refused = reason in OWNER_REASONS
+        if not owner_refused and self._state.retries >= self._context.choice.max_retries:
             return False
         if reason not in UNCHARGED_REASONS and not self._context.budget.take(reason):
             return False
-        self._state.retries += 1
+        # A refusal of the owner cost the backend servers nothing, so only time limits these.
+        self._state.retries += not owner_refused
         self._retry_reason = reason
         return True
 
--- a/libs/routing/src/zinnia_routing/context.py
+++ b/libs/routing/src/zinnia_routing/context.py
@@ -20,6 +20,7 @@
 SEAL_MARGIN_S = 0.005  # answers leave this long before the deadline
 RETRY_MARGIN_S = 0.005  # no retry is sent closer to the deadline
 REROUTE_PAUSE_S = 0.02  # until the new owner of a replica is looked up again
+LONGEST_REROUTE_PAUSE_S = 0.1  # a change of owner may take seconds; the pause grows up to this
 PATIENCE_S = 0.25  # for a shard without a usable replica, before it is given up
 MAP_WAIT_S = 0.1  # for a newer shard map after snapshot_gone
 MAP_POLL_S = 0.01
--- a/libs/routing/src/zinnia_routing/runs.py
+++ b/libs/routing/src/zinnia_routing/runs.py
@@ -13,6 +13,7 @@
 from zinnia_routing.attempts import Attempt, AttemptBook, ShardState
 from zinnia_routing.choice import ResendRule
 from zinnia_routing.context import (
+    LONGEST_REROUTE_PAUSE_S,
     MAP_POLL_S,
     MAP_WAIT_S,
     MAX_REPLANS,
@@ -228,16 +229,22 @@
             self._lose(state, self._refusal, now)
             return
         late = self._query.deadline_at - now < RETRY_MARGIN_S
-        if late or state.retries >= self._context.choice.max_retries:
+        spent = state.retries >= self._context.choice.max_retries
+        if late or (spent and reason not in OWNER_REASONS):
             self._lose(state, reason, now)
             return
         excluded = state.excluded
-        if now >= state.failed_at + REROUTE_PAUSE_S and state.rerouted:
+        pause = min(REROUTE_PAUSE_S * max(1, len(state.rerouted)), LONGEST_REROUTE_PAUSE_S)
+        if now >= state.failed_at + pause and state.rerouted:
             excluded = [replica for replica in excluded if replica not in state.rerouted]
         target = self._context.planner.choose(self._pinned, state.shard, excluded, cross=True)
         first = not state.excluded
         if target is None:
             # With no replica left but those that failed, only a change of owner can help.
+            if reason in OWNER_REASONS:
+                state.retry_at = now + REROUTE_PAUSE_S
+                self._waiting.append(state)
+                return
             can_change = first or state.rerouted
             self._look_again(state, reason if can_change else None, reason, now)
             return
@@ -246,7 +253,8 @@
             self._look_again(state, Reason.RETRY_BUDGET_EMPTY, reason, now)
             return
         if not first:
-            state.retries += 1
+            # A refusal of the owner cost the backend servers nothing, so only time limits these.
+            state.retries += reason not in OWNER_REASONS
             self._context.counters.count_retry(reason)
             self._note(now, "retry", f"{state.shard} {target.replica} {reason.value}")
         self._book.add(state, target, self._merge, now)
--- a/libs/routing/tests/test_execution.py
+++ b/libs/routing/tests/test_execution.py
@@ -53,6 +53,25 @@
         self.assertLess(self.took_s, 1.0)
         self.assertEqual(1, len(self.harness.owners.cancelled))
 
+    def test_shard_whose_owners_change_is_answered_within_the_deadline(self):
+        """Guards against shards lost in a planned stop, when all owners refuse for a moment."""
+        for reason in (Reason.SHUTTING_DOWN, Reason.NO_MAJORITY, Reason.OWNER_WAITING):
+            with self.subTest(reason):
+
+                def handle(item, batch, reason=reason):
+                    if item.shard == "2" and trio.current_time() < self.changed_at:
+                        return 0.005, fail(item, reason)
+                    return 0.005, answer(item, batch)
+
+                def prepare(harness):
+                    self.changed_at = trio.current_time() + 0.6
+
+                sealed = self.run_query(handle, prepare)
+                self.assertEqual(Coverage(4, 4), sealed.coverage)
+                self.assertLess(self.took_s, 0.8)
+                asked = [i for i in self.harness.owners.items if i.shard == "2"]
+                self.assertLess(len(asked), 30)
+
     def test_slow_shard_is_hedged_and_the_loser_cancelled(self):
         """Guards against waiting for a straggler, and against extra work that nobody reads."""
         slow = []
