Name the VM in the trace of a request

Cause: 'zinnia explain' reads the key vm, which GET /admin/requests/{id} did not send; the command always ended with 'reply not understood at vm: Field required'. Change: the reply names the VM.

--- a/programs/daemon/src/zinniarouterd/admin.py
+++ b/programs/daemon/src/zinniarouterd/admin.py
@@ -28,6 +28,7 @@
 class AdminSources:
     """Where the admin interface reads what it reports."""
 
+    vm: str
     status: Callable[[], dict]
     document: Callable[[], ConfigDocument | None]
     moves: Callable[[], list[dict]]
@@ -150,4 +151,4 @@
             {"at_s": event.at_s, "event": event.event, "detail": event.detail}
             for event in trace.events
         ]
-        return make_json(200, {"request_id": request_id, "events": events})
+        return make_json(200, {"request_id": request_id, "vm": self._sources.vm, "events": events})
--- a/programs/daemon/src/zinniarouterd/node.py
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -215,6 +215,7 @@
             self.dispatcher,
         )
         sources = AdminSources(
+            self.vm,
             lambda: report.build(self.membership, self.watch.is_up),
             lambda: self.membership.configuration.document,
             self.list_moves,
