--- a/scenarios/process_traffic.py
+++ b/scenarios/process_traffic.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 
 import httpcore
-
 from process_tier import COMMAND_ROUTE, COMMAND_SERVICE, QUERY_SERVICE, RunningTier
 
 CALLERS = 6
@@ -50,15 +49,20 @@
     """Sends queries and commands from several callers until it is stopped.
 
     A balancer polls ``/readyz`` and takes VMs that are not ready out of service, as the platform's
-    does; ``keep_sending`` names VMs that it never takes out.
+    does. With ``only`` there is no balancer and the named VMs get all requests.
     """
 
     def __init__(
-        self, tier: RunningTier, commands: bool = True, only: tuple[int, ...] | None = None
+        self,
+        tier: RunningTier,
+        commands: bool = True,
+        only: tuple[int, ...] | None = None,
+        deadline_ms: int = DEADLINE_MS,
     ) -> None:
         self._tier = tier
         self._commands = commands
         self._only = only
+        self._deadline_ms = deadline_ms
         self._in_service = list(only) if only is not None else tier.list_serving()
         self._numbers = itertools.count(1)
         self._stop = threading.Event()
@@ -82,7 +86,7 @@
 
     def list_sent(self) -> list[Sent]:
         """Return all requests that have ended."""
-        return sorted(list(self._sent), key=lambda sent: sent.sent_at)
+        return sorted(self._sent, key=lambda sent: sent.sent_at)
 
     def _balance(self) -> None:
         while not self._stop.wait(BALANCER_POLL_S):
@@ -109,7 +113,7 @@
         service, route, path = QUERY_SERVICE, "search", "/v1/query"
         if is_command:
             service, route, path = COMMAND_SERVICE, COMMAND_ROUTE, "/v1/command"
-        value = {"service": service, "route": route, "deadline_ms": DEADLINE_MS}
+        value = {"service": service, "route": route, "deadline_ms": self._deadline_ms}
         content = json.dumps(value | {"body": {"number": number}}).encode()
         headers = {"Idempotency-Key": key} if key else None
         url = f"http://{self._tier.plan.daemons[vm].callers}{path}"
