Let members act for one that promises not to act yet

Cause: a VM that joins, restarts or takes a seat ranks first for its replicas at once but may not act before the start rule, the settling of the list and the takeover wait have passed, and the former owners may not act because it is alive. Nobody sent meanwhile.

Change: heartbeat replies carry a standby promise, the giver's own word that it does not act for the duration of a promise. A lower-ranked member may act while it holds that promise. An incarnation is in standby until it was ready once (majority, settled list); it then says so in its heartbeats, which receivers take before they answer, and acts when each promise was acknowledged or has expired. A promise answered before the withdrawal and received after it does not count. A VM in standby is given none, as it cannot act for another.

Ruled out: ending standby for a replica by a Handover alone. Others than the former owner may hold the promise too; when the former owner dies or restarts just after its handover, one of them could act beside the new owner.

--- a/libs/membership/src/zinnia_membership/membership.py
+++ b/libs/membership/src/zinnia_membership/membership.py
@@ -76,6 +76,7 @@
             self.configuration.revision,
             self.promises.released,
             tuple(facts),
+            not self.promises.own_standby.is_ended,
         )
 
     def receive_heartbeat(
@@ -84,6 +85,7 @@
         """Take a heartbeat and return the reply with this member's promises."""
         self.configuration.heard(message.vm, message.config_revision, now)
         grant = self.promises.given.answer(message, now)
+        standby = self.promises.answer_standby(message, now)
         return HeartbeatReply(
             self.vm,
             self.view.epoch,
@@ -95,6 +97,7 @@
             grant.dead,
             self.configuration.revision,
             tuple(facts),
+            standby,
         )
 
     def receive_reply(self, message: HeartbeatReply, now: float) -> Finding:
--- a/libs/membership/src/zinnia_membership/ownership.py
+++ b/libs/membership/src/zinnia_membership/ownership.py
@@ -40,10 +40,15 @@
         for vm in self._rank(replica):
             if vm == promises.vm:
                 break
-            if not promises.holds_dead(vm, now):
+            if promises.standby.holds(vm, now):
+                since = max(since, promises.standby.find_since(vm))
+            elif not promises.holds_dead(vm, now):
                 return Standing.NOT_OWNER
-            if not self._left_idle(vm):
+            elif not self._left_idle(vm):
                 since = max(since, promises.find_dead_since(vm))
+        if not promises.own_standby.is_over(now):
+            return Standing.WAITING if promises.own_standby.is_ended else Standing.NOT_OWNER
+        since = max(since, promises.own_standby.over_at)
         if self._may_be_held_by_former(replica, now):
             if not promises.is_settled(now):
                 return Standing.WAITING
@@ -53,14 +58,15 @@
         return Standing.WAITING
 
     def owner(self, replica: ReplicaId, now: float) -> VmId | None:
-        """Return the VM to forward to: the highest-ranked one that is not known to be dead."""
+        """Return the VM to forward to: the highest-ranked one not known to be dead or in standby."""
+        in_standby = None
         for vm in self._rank(replica):
-            if vm == self._promises.vm:
-                if not self._promises.released:
-                    return vm
-            elif not self._is_gone(vm, now):
+            if self._is_gone(vm, now):
+                continue
+            if not self._is_in_standby(vm):
                 return vm
-        return None
+            in_standby = in_standby or vm
+        return in_standby
 
     def accept_handover(self, replicas: Iterable[ReplicaId], now: float) -> None:
         """Note that the last owner has stopped sending to these replicas."""
@@ -118,9 +124,18 @@
         if at is None:
             return False
         # Without a majority at the time of the handover another VM may have acted in between.
+        if at < self._promises.own_standby.handover_from:
+            return False
         return at >= self._promises.alive_since and since - at <= HANDOVER_VALID_S
 
+    def _is_in_standby(self, vm: VmId) -> bool:
+        if vm == self._promises.vm:
+            return not self._promises.own_standby.is_ended
+        return self._promises.standby.is_announced(vm)
+
     def _is_gone(self, vm: VmId, now: float) -> bool:
+        if vm == self._promises.vm:
+            return self._promises.released
         if self._promises.holds_dead(vm, now):
             return True
         if self._promises.has_majority(now) or self._promises.has_contact(now):
--- a/libs/membership/src/zinnia_membership/promises.py
+++ b/libs/membership/src/zinnia_membership/promises.py
@@ -5,8 +5,10 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 
 from zinnia_membership.member_list import View
+from zinnia_membership.standby import GivenStandby, HeldStandby
 from zinnia_model.ids import VmId
 from zinnia_model.messages import Heartbeat, HeartbeatReply
 
@@ -153,6 +155,8 @@
         self.incarnation = incarnation
         self.given = GivenPromises(vm, now)
         self.view = View(0, 0, (), 0)
+        self.own_standby = GivenStandby(PROMISE_DURATION_S)
+        self.standby = HeldStandby()
         self.released = False
         # Start of the unbroken time for which this VM has held ALIVE from a majority.
         self.alive_since = now
@@ -168,6 +172,8 @@
         self._dead: dict[VmId, dict[VmId, float]] = {}
         self._dead_since: dict[VmId, float] = {}
         self._settled_by: set[VmId] = set()
+        # Members that this VM saw join and whose standby it has not held yet.
+        self._joined: set[VmId] = set()
         # Kept because it is asked for before each send and changes only with replies.
         self._alive_until: float | None = None
 
@@ -182,6 +188,8 @@
             self.has_followed = self.has_followed and follows
         self.former |= set(self.view.vms)
         self.former -= set(view.vms)
+        joined = set(view.vms) - set(self.view.vms)
+        self._joined = (self._joined | joined) if self.has_followed else set()
         self.view = view
         self.settled_since = None
         self._settled_by = set()
@@ -209,9 +217,10 @@
         sent_at = self._sent.get(reply.vm, {}).pop(reply.sequence, None)
         if sent_at is None:
             return False
+        until = sent_at + PROMISE_DURATION_S - CLOCK_MARGIN_S
+        self._count_standby(reply, until, now)
         if reply.view != self.view.digest or reply.vm not in self.view.vms:
             return True
-        until = sent_at + PROMISE_DURATION_S - CLOCK_MARGIN_S
         self._contact[reply.vm] = max(until, self._contact.get(reply.vm, NEVER))
         self._count_settled(reply, now)
         if reply.alive and not self.released:
@@ -225,6 +234,15 @@
         for subject in self.given.renew_dead(now):
             self._count_dead(subject, self.vm, self.given.find_dead_until(subject), now)
         self._check_settled(now)
+        self._check_ready(now)
+
+    def answer_standby(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Take what a heartbeat says about standby; return whether the reply promises it."""
+        self.standby.hear(heartbeat.vm, heartbeat.standby, self._sequence)
+        if not heartbeat.standby:
+            self._joined.discard(heartbeat.vm)
+        # A VM in standby cannot act in place of this one, so it needs no promise.
+        return not heartbeat.standby and self.own_standby.give(heartbeat.vm, now)
 
     def has_majority(self, now: float) -> bool:
         """Whether this VM holds ALIVE from a majority of the members, itself included."""
@@ -257,6 +275,27 @@
         self._check_settled(now)
         return self.settled_since is not None
 
+    def _check_ready(self, now: float) -> None:
+        if self.own_standby.is_ended or self.vm not in self.view.vms:
+            return
+        if self.has_majority(now) and self.is_settled(now):
+            self.own_standby.end(self._sequence, now)
+
+    def _count_standby(self, reply: HeartbeatReply, until: float, now: float) -> None:
+        self.own_standby.note_answered(reply.vm, reply.sequence, now)
+        if reply.standby:
+            find_since = partial(self._find_work_since, reply.vm, now)
+            self.standby.count(reply.vm, reply.sequence, until, now, find_since)
+
+    def _find_work_since(self, vm: VmId, now: float) -> float:
+        """Return when earlier work of a VM that is now in standby may have ended its sends."""
+        if self.holds_dead(vm, now):
+            return self.find_dead_since(vm)
+        if vm in self._joined or vm not in (*self.view.vms, *self.former):
+            self._joined.discard(vm)
+            return NEVER
+        return now
+
     def _count_settled(self, reply: HeartbeatReply, now: float) -> None:
         if reply.settled:
             self._settled_by.add(reply.vm)
--- a/libs/membership/tests/test_exclusive.py
+++ b/libs/membership/tests/test_exclusive.py
@@ -15,6 +15,8 @@
 from zinnia_membership.member_list import MemberListError, add_member, remove_member
 from zinnia_membership.membership import HEARTBEAT_INTERVAL_S, Membership
 from zinnia_membership.promises import GivenPromises
+from zinnia_membership.rendezvous import rank
+from zinnia_membership.standby import GivenStandby, HeldStandby
 from zinnia_model.members import Member, MemberList
 from zinnia_model.ownership import Standing
 
@@ -219,6 +221,27 @@
         return False
 
 
+class ForgetfulGiver(GivenStandby):
+    """Acts as soon as it is ready, although others still hold its standby promises."""
+
+    def is_over(self, now):
+        return self.is_ended
+
+
+class DeafHolder(HeldStandby):
+    """Keeps a standby promise that was withdrawn."""
+
+    def hear(self, vm, standby, sequence):
+        return
+
+
+class TimelessHolder(HeldStandby):
+    """Keeps a standby promise beyond its end."""
+
+    def holds(self, vm, now):
+        return vm in self._until
+
+
 ExclusiveOwnership.TestCase.settings = settings(
     max_examples=100,
     stateful_step_count=30,
@@ -263,6 +286,44 @@
         ):
             self.cut_off_an_owner()
 
+    def restart_members_of_divided_cells(self):
+        for seed in range(10):
+            cell = Cell(seed)
+            cell.advance(4)
+            first, second = rank(REPLICAS[0], VMS)[:2]
+            cell.nodes[first].start(cell.now, cell.stored)
+            cell.advance(1.2)
+            # The next in rank hears nothing of the withdrawal.
+            cell.delays[first, second] = (None, None)
+            cell.advance(4)
+
+    def test_search_detects_standby_that_is_broken_on_either_side(self):
+        self.restart_members_of_divided_cells()
+        for name, broken in (
+            ("GivenStandby", ForgetfulGiver),
+            ("HeldStandby", DeafHolder),
+            ("HeldStandby", TimelessHolder),
+        ):
+            with (
+                self.subTest(broken.__name__),
+                patch(f"zinnia_membership.promises.{name}", broken),
+                self.assertRaisesRegex(AssertionError, "own replica"),
+            ):
+                self.restart_members_of_divided_cells()
+
+    def test_members_act_for_one_in_standby(self):
+        # Guards against a search that never uses a standby promise and so proves nothing of it.
+        cell = Cell(1)
+        cell.advance(4)
+        cell.change("spare-0", lambda members: add_member(members, make_member("spare-0")))
+        cell.advance(0.5)
+        acting = [n for n in cell.nodes.values() if any(cell.owns(n, r) for r in REPLICAS)]
+        holding = [
+            n for n in acting if n.membership.promises.standby.holds("spare-0", n.clock(cell.now))
+        ]
+        self.assertTrue(holding)
+        self.assertTrue(all(any(cell.owns(n, r) for n in cell.nodes.values()) for r in REPLICAS))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/membership/tests/test_keeper.py
+++ b/libs/membership/tests/test_keeper.py
@@ -6,6 +6,7 @@
 
 from zinnia_membership.keeper import MemberKeeper
 from zinnia_membership.membership import HEARTBEAT_INTERVAL_S, Membership
+from zinnia_membership.rendezvous import rank
 from zinnia_model.members import Member, VmState
 from zinnia_model.ownership import Standing
 from zinnia_standins.platform_core import PlatformCore
@@ -104,6 +105,39 @@
         self.assertEqual({1}, {len(found) for found in owners})
         self.assertEqual(3, len({found[0] for found in owners}))
 
+    async def measure_gap(self, vms, replica, duration_s, hand_over):
+        """Return the seconds without an owner while a VM joins that ranks first."""
+        gap_s, last = 0.0, vms.list_owners(replica)
+        for _ in range(round(duration_s / 0.01)):
+            await trio.sleep(0.01)
+            owners = vms.list_owners(replica)
+            self.assertLessEqual(len(owners), 1)
+            gap_s += 0.0 if owners else 0.01
+            if last and not owners and hand_over:
+                vms.memberships["new"].accept_handover([replica], trio.current_time())
+            last = owners
+        self.assertEqual(["new"], last)
+        return gap_s
+
+    @run_with_vms
+    async def test_replica_keeps_an_owner_while_a_vm_joins_that_ranks_first(self, vms):
+        # Guards against the 2.5 s for which neither the new nor the former owner could send.
+        await self.start_three(vms)
+        names = ["vm-1", "vm-2", "vm-3", "new"]
+        replica = next(f"r{n}" for n in range(99) if rank(f"r{n}", names)[0] == "new")
+        vms.start("new")
+        self.assertLess(await self.measure_gap(vms, replica, 15, hand_over=True), 0.45)
+
+    @run_with_vms
+    async def test_joined_vm_waits_for_work_of_the_former_owner_without_a_handover(self, vms):
+        await self.start_three(vms)
+        names = ["vm-1", "vm-2", "vm-3", "new"]
+        replica = next(f"r{n}" for n in range(99) if rank(f"r{n}", names)[0] == "new")
+        vms.start("new")
+        gap_s = await self.measure_gap(vms, replica, 15, hand_over=False)
+        self.assertGreaterEqual(gap_s, 0.99)
+        self.assertLess(gap_s, 1.5)
+
     @run_with_vms
     async def test_join_survives_a_lost_reply(self, vms):
         vms.core.set_faults({"lose_replies": 1})
--- a/libs/model/src/zinnia_model/messages.py
+++ b/libs/model/src/zinnia_model/messages.py
@@ -42,7 +42,8 @@
 
     ``view`` identifies the holders of all seats, because seats change hands within an epoch during
     a platform outage. ``leaving`` says that this incarnation has given up every promise it held and
-    never acts as owner again.
+    never acts as owner again. ``standby`` says that this incarnation has not acted as owner yet;
+    false withdraws every standby promise that it gave.
     """
 
     vm: VmId
@@ -53,6 +54,7 @@
     config_revision: Revision = Revision(0)
     leaving: bool = False
     facts: tuple[FactRecord, ...] = ()
+    standby: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,7 @@
     ``sequence`` and ``asker_incarnation`` repeat those of the heartbeat. ``alive`` is the promise
     about the asker, ``dead`` lists the members about whom ``vm`` promises DEAD as of this reply.
     ``settled`` says that every promise which ``vm`` gave under another view has expired.
+    ``standby`` promises that ``vm`` does not act as owner for the duration of a promise.
     """
 
     vm: VmId
@@ -74,6 +77,7 @@
     dead: tuple[VmId, ...] = ()
     config_revision: Revision = Revision(0)
     facts: tuple[FactRecord, ...] = ()
+    standby: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/peers/src/zinnia_peers/codec.py
+++ b/libs/peers/src/zinnia_peers/codec.py
@@ -167,6 +167,7 @@
         ("config_revision", _I32),
         ("leaving", _BOOL),
         ("facts", _FACTS),
+        ("standby", _BOOL),
     ),
     m.HeartbeatReply: _make_struct(
         m.HeartbeatReply,
@@ -180,6 +181,7 @@
         ("dead", _TEXTS),
         ("config_revision", _I32),
         ("facts", _FACTS),
+        ("standby", _BOOL),
     ),
     m.SubmitBatch: _make_struct(m.SubmitBatch, ("batch", _BATCH)),
     m.Results: _make_struct(m.Results, ("results", _list(_SUB_RESULT))),
--- a/libs/peers/tests/test_codec.py
+++ b/libs/peers/tests/test_codec.py
@@ -17,8 +17,8 @@
 RESULT = SubResult("a", Outcome.ANSWERED, "s", "r", None, b"\xff{}", "n", "i", "v", 0.5, 1, 2, True)
 EXAMPLES = [
     m.Hello("vm-1", "i"),
-    m.Heartbeat("vm-1", "i", 4, -(2**62), 9, 7, True, (FACT,)),
-    m.HeartbeatReply("vm-2", 4, 5, 9, "j", True, True, ("vm-3",), 7, (FACT,)),
+    m.Heartbeat("vm-1", "i", 4, -(2**62), 9, 7, True, (FACT,), True),
+    m.HeartbeatReply("vm-2", 4, 5, 9, "j", True, True, ("vm-3",), 7, (FACT,), True),
     m.SubmitBatch(
         Batch("q", "s", "r", "n", b"\x00\xff", 0.2, False, "f", (SubRequest("a", "s", "r"),), "k")
     ),
