--- a/libs/membership/src/zinnia_membership/ownership.py
+++ b/libs/membership/src/zinnia_membership/ownership.py
@@ -36,19 +36,12 @@
             if self.is_degraded(now) and self.owner(replica, now) == promises.vm:
                 return Standing.DEGRADED
             return Standing.NO_MAJORITY
-        since = promises.alive_since
-        for vm in self._rank(replica):
-            if vm == promises.vm:
-                break
-            if promises.standby.holds(vm, now):
-                since = max(since, promises.standby.find_since(vm))
-            elif not promises.holds_dead(vm, now):
-                return Standing.NOT_OWNER
-            elif not self._left_idle(vm):
-                since = max(since, promises.find_dead_since(vm))
+        since = self._find_free_since(replica, now)
+        if since is None:
+            return Standing.NOT_OWNER
         if not promises.own_standby.is_over(now):
             return Standing.WAITING if promises.own_standby.is_ended else Standing.NOT_OWNER
-        since = max(since, promises.own_standby.over_at)
+        since = max(since, promises.alive_since, promises.own_standby.over_at)
         if self._may_be_held_by_former(replica, now):
             if not promises.is_settled(now):
                 return Standing.WAITING
@@ -58,7 +51,10 @@
         return Standing.WAITING
 
     def owner(self, replica: ReplicaId, now: float) -> VmId | None:
-        """Return the VM to forward to: the highest-ranked one not known to be dead or in standby."""
+        """Return the VM to forward to, None if all are known to be dead.
+
+        It is the highest-ranked one that is neither dead nor in standby.
+        """
         in_standby = None
         for vm in self._rank(replica):
             if self._is_gone(vm, now):
@@ -99,6 +95,21 @@
             if now - at <= HANDOVER_VALID_S + self._takeover_wait_s
         }
 
+    def _find_free_since(self, replica: ReplicaId, now: float) -> float | None:
+        """Return since when no higher-ranked member acts, None if one may act now."""
+        promises = self._promises
+        since = NEVER
+        for vm in self._rank(replica):
+            if vm == promises.vm:
+                break
+            if promises.standby.holds(vm, now):
+                since = max(since, promises.standby.find_since(vm))
+            elif not promises.holds_dead(vm, now):
+                return None
+            elif not self._left_idle(vm):
+                since = max(since, promises.find_dead_since(vm))
+        return since
+
     def _rank(self, replica: ReplicaId) -> tuple[VmId, ...]:
         return self._ranks.rank(replica, self._promises.view.vms)
 
