A VM in a data centre that is taken out gives up ownership and its seat

Cause: daemons in the data centre went not ready but stayed owners, so sub-requests to other data centres still passed through VMs that were about to be switched off. Change: the VM drains and hands over its replicas, leaves the member list, forwards what still reaches it, and rejoins under a new incarnation after the return. Before: the owners included the VM of the data centre that was out.

--- a/libs/backends/src/zinnia_backends/dispatcher.py
+++ b/libs/backends/src/zinnia_backends/dispatcher.py
@@ -228,6 +228,10 @@
         """Refuse new work from now on; accepted work goes on."""
         self._draining = True
 
+    def end_drain(self) -> None:
+        """Accept new work again."""
+        self._draining = False
+
     async def drain(self, deadline_at: float) -> int:
         """Wait until accepted work is settled or ``deadline_at``; return how many are left."""
         self.begin_drain()
--- a/libs/membership/src/zinnia_membership/membership.py
+++ b/libs/membership/src/zinnia_membership/membership.py
@@ -35,6 +35,7 @@
         self.vm = vm
         self.incarnation = incarnation
         self.promises = Promises(vm, incarnation, now)
+        self._takeover_wait_s = takeover_wait_s
         self.ownership = Ownership(self.promises, takeover_wait_s)
         self.configuration = ConfigHolder(vm)
         self._registry = MemberRegistry()
@@ -161,6 +162,19 @@
         """Give up ownership for good; all requests in flight must have ended."""
         self.promises.release()
 
+    def rejoin(self, incarnation: str, now: float) -> None:
+        """Take part again under another incarnation, as a restart of the process would.
+
+        The promises given before are forgotten, so the rule for a member that has just started
+        holds again.
+        """
+        earlier = self.promises
+        self.incarnation = incarnation
+        self.promises = Promises(self.vm, incarnation, now)
+        self.promises.keep_contact(earlier)
+        self.ownership = Ownership(self.promises, self._takeover_wait_s)
+        self.promises.adopt(self.view, now)
+
     def accept_handover(self, replicas: Iterable[ReplicaId], now: float) -> None:
         """Note that the last owner has stopped sending to these replicas."""
         self.ownership.accept_handover(replicas, now)
--- a/libs/membership/src/zinnia_membership/promises.py
+++ b/libs/membership/src/zinnia_membership/promises.py
@@ -188,6 +188,13 @@
         self._alive_until = None
         self.given.adopt(view, now)
 
+    def keep_contact(self, earlier: "Promises") -> None:
+        """Take over which members answered an earlier incarnation of this run, until it expires.
+
+        Contact gives no right to act; it only shows that a forwarder is not cut off.
+        """
+        self._contact = dict(earlier._contact)
+
     def release(self) -> None:
         """Give up all held ALIVE promises for good, because this VM leaves."""
         self.released = True
--- a/programs/daemon/src/zinniarouterd/node.py
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -55,6 +55,9 @@
 EXPIRY_INTERVAL_S = 5.0
 HANDOVER_LIMIT_S = 1.0
 LEAVE_PAUSE_S = 0.05
+DATA_CENTRE_POLL_S = 0.2
+# Accepted sub-requests of a data centre that is taken out may run for this long.
+WITHDRAWAL_LIMIT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,21 +234,30 @@
         return self.membership.standing(replica, trio.current_time())
 
     def find_refusal(self) -> Reason | None:
-        """Return why requests must be refused now, or None."""
+        """Return why requests must be refused now, or None.
+
+        A VM that has given up ownership still forwards requests while it hears a majority.
+        """
         now = trio.current_time()
-        if self.membership.configuration.document is None:
+        membership = self.membership
+        if membership.configuration.document is None:
             return Reason.NO_CONFIGURATION
-        if self.membership.is_ready(now) or self.membership.is_degraded(now):
+        if membership.is_ready(now) or membership.is_degraded(now):
+            return None
+        forwards = membership.is_leaving and membership.promises.has_contact(now)
+        if forwards and membership.configuration.is_current(now):
             return None
         return Reason.NO_MAJORITY
 
     def find_obstacle(self) -> Reason | None:
         """Return why the balancer should not send requests here, or None."""
+        return Reason.DATA_CENTRE_OUT if self.is_data_centre_out() else self.find_refusal()
+
+    def is_data_centre_out(self) -> bool:
+        """Return whether operators have taken the data centre of this VM out."""
         document = self.membership.configuration.document
         config = document.data_centres.get(self.settings.data_centre) if document else None
-        if config is not None and config.state is DataCentreState.OUT:
-            return Reason.DATA_CENTRE_OUT
-        return self.find_refusal()
+        return config is not None and config.state is DataCentreState.OUT
 
     def find_rank(self, now: float) -> int | None:
         """Return the position of this VM among the live members, None without a majority."""
@@ -314,7 +326,7 @@
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Run all loops until cancelled."""
-        keeper = self.make_keeper()
+        self.make_keeper()
         async with trio.open_nursery() as nursery:
             await nursery.start(self.dispatcher.run)
             await nursery.start(self.claims.run)
@@ -322,11 +334,33 @@
                 await nursery.start(self.server.serve)
             await nursery.start(self.heartbeats.run)
             nursery.start_soon(self.watch.run)
-            nursery.start_soon(keeper.run)
+            nursery.start_soon(self.keep_membership)
             nursery.start_soon(self.driver.run)
             nursery.start_soon(self._tidy)
             task_status.started()
 
+    async def keep_membership(self) -> None:
+        """Hold a seat while the data centre of this VM is in, and none while it is out."""
+        while True:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.keeper.run)
+                await self._wait_data_centre(out=True)
+                logger.info("ownership_withdrawn")
+                await self.hand_over(trio.current_time() + WITHDRAWAL_LIMIT_S)
+                await self.give_up_seat()
+                nursery.cancel_scope.cancel()
+            await self._wait_data_centre(out=False)
+            self.incarnation = secrets.token_hex(6)
+            self.membership.rejoin(self.incarnation, trio.current_time())
+            self.dispatcher.end_drain()
+            self.make_keeper()
+            logger.bind(incarnation=self.incarnation).info("membership_resumed")
+
+    async def _wait_data_centre(self, out: bool) -> None:
+        # A change of configuration has many sources, so the state is looked at regularly.
+        while self.is_data_centre_out() is not out:  # noqa: ASYNC110
+            await trio.sleep(DATA_CENTRE_POLL_S)
+
     def make_keeper(self) -> MemberKeeper:
         """Return the keeper of the member list."""
         own = Member(
@@ -360,14 +394,19 @@
         left = await self.claims.flush(trio.current_time() + HANDOVER_LIMIT_S)
         if left:
             logger.bind(records=left).warning("claims_not_recorded")
-        transfer = await self.keeper.leave(self.find_successor)
-        if transfer is not None:
-            for peer in self.links.list_peers():
-                self.links.get(peer).notify(transfer)
-            self.heartbeats.hurry()
-            await trio.sleep(LEAVE_PAUSE_S)
+        await self.give_up_seat()
         logger.bind(in_flight=self.gate.in_flight).info("shutdown_complete")
 
+    async def give_up_seat(self) -> None:
+        """Leave the member list, or hand the seat over while the platform is down."""
+        transfer = await self.keeper.leave(self.find_successor)
+        if transfer is None:
+            return
+        for peer in self.links.list_peers():
+            self.links.get(peer).notify(transfer)
+        self.heartbeats.hurry()
+        await trio.sleep(LEAVE_PAUSE_S)
+
     async def hand_over(self, deadline: float) -> None:
         """Finish accepted sub-requests, then give the replicas to their next owners."""
         await self.dispatcher.drain(deadline)
