Let services with little traffic finish their releases

Cause: 300 answers at 5% take 100 minutes at one query a second, so a good version of such a service was always taken back at its hour. Change: a step that has lasted its part of the time left needs 60 answers instead of 300. Before: taken back (new test); after: done; 59 answers are never enough. Ruled out: fewer answers for all moves, which would let a bad version reach 25% sooner.

--- a/libs/releases/src/zinnia_releases/moves.py
+++ b/libs/releases/src/zinnia_releases/moves.py
@@ -34,11 +34,16 @@
 
     ``min_step_s`` is the shortest step under time pressure: faults show and a veto spreads within
     3 s, so a shorter step would raise the share before the evidence of the last step is in.
+    ``answers_per_step`` are wanted before any share above the canary share. A step that has lasted
+    its part of the time up to the hour needs only ``fewest_answers``: with 300, a good version of a
+    service with one query a second could never be done in time. In 60 answers a version that fails
+    one in ten shows six faults.
     """
 
     steps: tuple[float, ...] = (0.01, 0.05, 0.25, 0.50, 1.0)
     canary_share: float = 0.05
     answers_per_step: int = 300
+    fewest_answers: int = 60
     min_step_s: float = 3.0
 
     def list_steps(self, target_share: float) -> tuple[float, ...]:
@@ -188,22 +193,28 @@
     def step_is_complete(self, steps: tuple[float, ...]) -> bool:
         """Return whether the step lasted long enough and brought enough answers."""
         left = len(steps) - self.move.step
-        if self.wall_ms - self.move.step_since_ms < self.compute_step_ms(left):
+        elapsed_ms = self.wall_ms - self.move.step_since_ms
+        if elapsed_ms < self.compute_step_ms(left):
             return False
         wanted = steps[min(self.move.step + 1, len(steps) - 1)]
         if wanted <= self.policy.canary_share:
             return True
         answers = self.evidence.count_answers(self.move.id, self.move.step, self.move.to_version)
-        return answers >= self.policy.answers_per_step
+        if answers >= self.policy.answers_per_step:
+            return True
+        return elapsed_ms >= self.compute_paced_ms(left) and answers >= self.policy.fewest_answers
 
-    def compute_step_ms(self, steps_left: int) -> float:
-        """Return the length of this step in ms so that the steps left fit before the hour.
+    def compute_paced_ms(self, steps_left: int) -> float:
+        """Return this step's part in ms of the time left, so that all steps fit before the hour.
 
         One step more than is left leaves time for a slow store.
         """
         end_ms = self.move.due_ms - DONE_MARGIN_MS
-        paced_ms = (end_ms - self.move.step_since_ms) / (steps_left + 1)
-        wanted_ms = min(self.move.step_seconds * 1000, paced_ms)
+        return (end_ms - self.move.step_since_ms) / (steps_left + 1)
+
+    def compute_step_ms(self, steps_left: int) -> float:
+        """Return the shortest length of this step in ms."""
+        wanted_ms = min(self.move.step_seconds * 1000, self.compute_paced_ms(steps_left))
         return max(wanted_ms, self.policy.min_step_s * 1000)
 
     def enter_step(
--- a/libs/releases/tests/test_moves.py
+++ b/libs/releases/tests/test_moves.py
@@ -49,6 +49,17 @@
         _, shares = run_moves(make_ramp(), START_MS + 600_000, FixedCounts(299))
         self.assertEqual(0.05, shares[-1][1])
 
+    def test_service_with_little_traffic_is_done_before_its_hour(self):
+        """Guards against good versions that are taken back because 300 answers take too long."""
+        document, _ = run_moves(make_ramp(), START_MS + 3_600_000, FixedCounts(60))
+        self.assertEqual(MoveState.DONE, document.moves["n1.1"].state)
+
+    def test_too_few_answers_are_never_enough(self):
+        """Guards against full traffic for a version that hardly answered."""
+        document, shares = run_moves(make_ramp(), START_MS + 3_600_000, FixedCounts(59))
+        self.assertEqual(0.05, shares[-1][1])
+        self.assertEqual(MoveState.RAMPING, document.moves["n1.1"].state)
+
     def test_ramp_is_paced_to_finish_before_a_near_hour(self):
         """Guards against step times that let the hour pass although there was time."""
         document, shares = run_moves(
--- a/programs/measure/src/zinnia_measure/demo.py
+++ b/programs/measure/src/zinnia_measure/demo.py
@@ -174,6 +174,7 @@
         "operator: morning\n"
         f"against_revision: {revision}\n"
         "time_zone: UTC\n"
+        "step_seconds: 3\n"
         "added:\n"
         "  - kind: version\n"
         f"    service: {service}\n"
