Hand replicas to a joined VM, and seats to observers during an outage

Cause: (1) after its standby a joined VM waited 1 s for work of the former owner, because the daemon sent no handover then. (2) Node.find_successor returned None, because nothing knew the address of a VM without a seat, so a seat was lost when its VM was replaced during a platform outage.

Change: (1) a VM that becomes ready sends a heartbeat to every peer at once. A former owner that receives it stops sending to the replicas that belong to the new VM now, lets running work finish (ReplicaDispatcher.cede) and sends their states in a Handover. (2) A heartbeat of a VM without a seat carries its peer address and data centre. Members remember such VMs for 1 s, open links to them, and a leaving VM hands its seat to the one heard for longest that does not leave itself. Because members now also send heartbeats to observers, they hold their standby promise before the member list changes, so a join leaves no time without an owner at its start either. Messages without the new fields still decode.

Ruled out: address and data centre in every heartbeat; the member list has them for members.

--- a/libs/backends/src/zinnia_backends/dispatcher.py
+++ b/libs/backends/src/zinnia_backends/dispatcher.py
@@ -27,6 +27,8 @@
 from zinnia_model.shardmaps import ReplicaRecord
 from zinnia_model.subrequests import Batch, BatchSender, ReplicaView, SubRequest, SubResult
 
+CEDE_POLL_S = 0.002  # adds at most this to the time without an owner
+
 
 class ReplicaDispatcher(BatchSender):
     """The owner's side of the path to backend servers; delivers exactly one result per attempt.
@@ -241,6 +243,29 @@
                 await self._sender.on_empty.wait()
         return len(self._sender.attempts)
 
+    async def cede(self, replica_ids: Iterable[ReplicaId], deadline_at: float) -> list[ReplicaFact]:
+        """Settle the work of replicas whose ownership this VM has lost, for their next owner.
+
+        Waiting sub-requests are refused and running ones finish. A replica whose work still runs
+        at ``deadline_at``, or whose ownership has come back, is left out.
+        """
+        ids = [replica_id for replica_id in replica_ids if replica_id in self._replicas]
+        replicas = [self._replicas[replica_id] for replica_id in ids]
+        for replica in replicas:
+            self._sender.pump(replica, trio.current_time())
+        # Answers come one by one on many replicas, so there is no single event to wait for.
+        while (  # noqa: ASYNC110
+            any(r.queue.in_flight for r in replicas) and trio.current_time() < deadline_at
+        ):
+            await trio.sleep(CEDE_POLL_S)
+        now = trio.current_time()
+        ceded = [r for r in replicas if not r.queue.in_flight]
+        return [
+            r.build_fact(r.standing)
+            for r in ceded
+            if self._gate.check(r, now)[0] is Standing.NOT_OWNER
+        ]
+
     def export_states(self) -> list[ReplicaFact]:
         """Return the states of the replicas for which this VM acts, for their next owners."""
         acting = [replica for replica in self._replicas.values() if replica.acting]
--- a/libs/backends/tests/test_dispatcher.py
+++ b/libs/backends/tests/test_dispatcher.py
@@ -230,6 +230,29 @@
 
         rig.run(check)
 
+    def test_ceded_replica_is_handed_over_only_after_its_work_has_finished(self):
+        """Guards against a next owner that sends beside work of this one."""
+        rig = Rig(slots=1)
+
+        async def check():
+            await rig.warm()
+            (state,) = rig.dispatcher.export_states()
+            rig.backend.delay_s = 0.1
+            rig.submit("running")
+            await trio.sleep(0.05)
+            rig.submit("waiting")
+            rig.standing = Standing.NOT_OWNER
+            started = trio.current_time()
+            late = await rig.dispatcher.cede([state.replica], started + 0.01)
+            (ceded,) = await rig.dispatcher.cede([state.replica], started + 1)
+            self.assertLess(trio.current_time() - started, 0.1)
+            self.assertEqual(([], False, 0), (late, ceded.cold, ceded.in_flight))
+            self.assertEqual("running", rig.backend.ran[-1])
+            outcomes = {r.attempt_id: (r.outcome, r.reason) for r in rig.results[-2:]}
+            self.assertEqual(not_run(Reason.NOT_OWNER), outcomes["waiting"])
+
+        rig.run(check)
+
     def test_draining_replica_gets_no_new_work_and_is_told_at_once(self):
         """Guards against work sent to a leaving backend server (promise 9)."""
         rig = Rig()
--- a/libs/membership/src/zinnia_membership/membership.py
+++ b/libs/membership/src/zinnia_membership/membership.py
@@ -30,9 +30,17 @@
     """
 
     def __init__(
-        self, vm: VmId, incarnation: str, now: float, takeover_wait_s: float = TAKEOVER_WAIT_S
+        self,
+        vm: VmId,
+        incarnation: str,
+        now: float,
+        takeover_wait_s: float = TAKEOVER_WAIT_S,
+        peer_address: str = "",
+        data_centre: str = "",
     ) -> None:
         self.vm = vm
+        self._peer_address = peer_address
+        self._data_centre = data_centre
         self.incarnation = incarnation
         self.promises = Promises(vm, incarnation, now)
         self._takeover_wait_s = takeover_wait_s
@@ -78,6 +86,8 @@
             self.promises.released,
             tuple(facts),
             not self.promises.own_standby.is_ended,
+            "" if self.is_member else self._peer_address,
+            "" if self.is_member else self._data_centre,
         )
 
     def receive_heartbeat(
--- a/libs/model/src/zinnia_model/messages.py
+++ b/libs/model/src/zinnia_model/messages.py
@@ -43,7 +43,8 @@
     ``view`` identifies the holders of all seats, because seats change hands within an epoch during
     a platform outage. ``leaving`` says that this incarnation has given up every promise it held and
     never acts as owner again. ``standby`` says that this incarnation has not acted as owner yet;
-    false withdraws every standby promise that it gave.
+    false withdraws every standby promise that it gave. ``peer_address`` and ``data_centre`` are
+    sent by a VM without a seat, which no member list describes.
     """
 
     vm: VmId
@@ -55,6 +56,8 @@
     leaving: bool = False
     facts: tuple[FactRecord, ...] = ()
     standby: bool = False
+    peer_address: str = ""
+    data_centre: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/peers/src/zinnia_peers/codec.py
+++ b/libs/peers/src/zinnia_peers/codec.py
@@ -168,6 +168,8 @@
         ("leaving", _BOOL),
         ("facts", _FACTS),
         ("standby", _BOOL),
+        ("peer_address", _TEXT),
+        ("data_centre", _TEXT),
     ),
     m.HeartbeatReply: _make_struct(
         m.HeartbeatReply,
--- a/libs/peers/tests/test_codec.py
+++ b/libs/peers/tests/test_codec.py
@@ -9,7 +9,7 @@
 from zinnia_model.members import Member, MemberList
 from zinnia_model.reasons import Outcome, Reason
 from zinnia_model.subrequests import Batch, SubRequest, SubResult
-from zinnia_peers.codec import MESSAGE_TYPES, Exchange, ProtocolError, decode, encode
+from zinnia_peers.codec import _STRUCTS, MESSAGE_TYPES, Exchange, ProtocolError, decode, encode
 
 MEMBER = Member(seat=3, vm="vm-3", incarnation="i", peer_address="127.0.0.1:1", data_centre="east")
 MEMBERS = MemberList(epoch=4, members=(MEMBER,))
@@ -17,7 +17,7 @@
 RESULT = SubResult("a", Outcome.ANSWERED, "s", "r", None, b"\xff{}", "n", "i", "v", 0.5, 1, 2, True)
 EXAMPLES = [
     m.Hello("vm-1", "i"),
-    m.Heartbeat("vm-1", "i", 4, -(2**62), 9, 7, True, (FACT,), True),
+    m.Heartbeat("vm-1", "i", 4, -(2**62), 9, 7, True, (FACT,), True, "127.0.0.1:1", "east"),
     m.HeartbeatReply("vm-2", 4, 5, 9, "j", True, True, ("vm-3",), 7, (FACT,), True),
     m.SubmitBatch(
         Batch("q", "s", "r", "n", b"\x00\xff", 0.2, False, "f", (SubRequest("a", "s", "r"),), "k")
@@ -83,6 +83,19 @@
         prefix = frame[: frame.index(b"Hello") + len("Hello") + 4]
         self.assertEqual(m.Hello("vm-1", ""), decode(prefix + body).message)
 
+    def test_heartbeat_without_the_later_fields_is_read(self):
+        # Guards against members of two versions that cannot hear each other during a rollout.
+        class Older:
+            vm, incarnation, epoch, view, sequence = "vm-1", "i", 4, 5, 9
+            config_revision, leaving, facts = 7, True, ()
+
+        newest = _STRUCTS[m.Heartbeat][1][1]
+        body = fastbinary.encode_binary(Older(), [Older, newest[:9]])
+        frame = encode(m.Heartbeat("", "", 0, 0, 0))
+        prefix = frame[: frame.index(b"hb") + len("hb") + 4]
+        found = decode(prefix + body).message
+        self.assertEqual(m.Heartbeat("vm-1", "i", 4, 5, 9, 7, True), found)
+
     @given(st.sampled_from(EXAMPLES), st.data())
     def test_damaged_frames_raise_only_protocol_errors(self, message, data):
         frame = bytearray(encode(message))
--- a/programs/daemon/src/zinniarouterd/handler.py
+++ b/programs/daemon/src/zinniarouterd/handler.py
@@ -25,8 +25,10 @@
 from zinnia_model.subrequests import Batch, BatchSender, SubResult
 from zinnia_peers.server import PeerHandler
 from zinniarouterd.exchange import FactExchange
+from zinniarouterd.handovers import Handovers
 from zinniarouterd.heartbeats import Heartbeats
 from zinniarouterd.holders import make_claim_reply
+from zinniarouterd.observers import Observers
 
 # Full facts in replies to a VM without a seat, to which no heartbeat goes from here.
 OBSERVER_FACTS_INTERVAL_S = 1.0
@@ -44,6 +46,8 @@
         claims: Claims,
         import_states: Callable[[Iterable[ReplicaFact]], None],
         has_link: Callable[[VmId], bool],
+        observers: Observers,
+        handovers: Handovers,
     ) -> None:
         self._sender = sender
         self.membership = membership
@@ -52,6 +56,8 @@
         self._claims = claims
         self._import_states = import_states
         self._has_link = has_link
+        self._observers = observers
+        self._handovers = handovers
         self._incarnations: dict[VmId, str] = {}
         self._observer_sent: dict[VmId, float] = {}
 
@@ -105,7 +111,11 @@
         facts = ()
         if not self._has_link(message.vm) and self._is_observer_due(message.vm, now):
             facts, _ = self._exchange.take_delta(message.vm, now)
+        held = self._handovers.list_held_for(message, now)
         reply = self.membership.receive_heartbeat(message, now, facts)
+        self._handovers.start(message.vm, held, now)
+        if self._observers.note(message, now):
+            self._heartbeats.follow_members()
         finding = self.membership.compare(message)
         if self._has_link(message.vm):
             self._heartbeats.follow_finding(
--- a/programs/daemon/src/zinniarouterd/heartbeats.py
+++ b/programs/daemon/src/zinniarouterd/heartbeats.py
@@ -11,6 +11,7 @@
 from zinnia_model.messages import ConfigPull, ConfigPush, HeartbeatReply, MemberPull, MemberPush
 from zinnia_peers.links import PeerLinks, PeerLostError, PeerTimeoutError
 from zinniarouterd.exchange import FactExchange
+from zinniarouterd.observers import Observers
 
 # Shorter than a promise, so that a lost reply costs one heartbeat and not the promise.
 REPLY_LIMIT_S = 0.6
@@ -34,12 +35,15 @@
         exchange: FactExchange,
         addresses: dict[VmId, str],
         adopt: Callable[[ConfigDocument], None],
+        observers: Observers,
     ) -> None:
         self._membership = membership
         self._links = links
         self._exchange = exchange
         self._configured = addresses
         self._adopt = adopt
+        self._observers = observers
+        self._was_in_standby = True
         self._beating: dict[VmId, trio.CancelScope] = {}
         self._pulling: set[tuple[VmId, type]] = set()
         self._hurry = trio.Event()
@@ -58,11 +62,12 @@
             while True:
                 await trio.sleep(HEARTBEAT_INTERVAL_S)
                 self._membership.tick(trio.current_time())
+                self._follow_standby()
                 self.follow_members()
 
     def follow_members(self) -> None:
-        """Keep links to all members and configured peers, and end those to others."""
-        wanted = dict(self._configured)
+        """Keep links to members, observers and configured peers, and end those to others."""
+        wanted = self._observers.list_addresses(trio.current_time()) | self._configured
         for member in self._membership.members().members:
             wanted[VmId(member.vm)] = member.peer_address
         wanted.pop(self._membership.vm, None)
@@ -101,8 +106,16 @@
         if reply.facts:
             self._exchange.receive(reply.facts)
         finding = self._membership.receive_reply(reply, trio.current_time())
+        self._follow_standby()
         self.follow_finding(peer, finding.members_differ, finding.config_is_newer)
 
+    def _follow_standby(self) -> None:
+        # The former owners stop, and this VM may begin, only when they hear that it is ready.
+        in_standby = not self._membership.promises.own_standby.is_ended
+        if self._was_in_standby and not in_standby:
+            self.hurry()
+        self._was_in_standby = in_standby
+
     def follow_finding(self, peer: VmId, members_differ: bool, config_is_newer: bool) -> None:
         """Pull what a peer holds that this VM lacks."""
         if members_differ:
--- a/programs/daemon/src/zinniarouterd/node.py
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -40,11 +40,13 @@
 from zinniarouterd.exchange import FactExchange
 from zinniarouterd.gate import Gate
 from zinniarouterd.handler import NodeHandler, make_config_push
+from zinniarouterd.handovers import HANDOVER_LIMIT_S, Handovers, make_handed
 from zinniarouterd.heartbeats import Heartbeats
 from zinniarouterd.history import TraceHistory
 from zinniarouterd.holders import HolderQueries
 from zinniarouterd.maps import ShardMaps, list_all_records
 from zinniarouterd.metrics import Metrics
+from zinniarouterd.observers import Observers
 from zinniarouterd.senders import CountingSender, SenderDirectory
 from zinniarouterd.settings import Settings
 from zinniarouterd.status import StatusReport
@@ -53,7 +55,6 @@
 from zinniarouterd.writer import ConfigWriter
 
 EXPIRY_INTERVAL_S = 5.0
-HANDOVER_LIMIT_S = 1.0
 LEAVE_PAUSE_S = 0.05
 DATA_CENTRE_POLL_S = 0.2
 # Accepted sub-requests of a data centre that is taken out may run for this long.
@@ -97,7 +98,13 @@
         self.metrics = Metrics()
         self.history = TraceHistory()
         self.facts = FactTable()
-        self.membership = Membership(self.vm, self.incarnation, trio.current_time())
+        self.membership = Membership(
+            self.vm,
+            self.incarnation,
+            trio.current_time(),
+            peer_address=settings.listen.peers,
+            data_centre=settings.data_centre,
+        )
         self.links = PeerLinks(
             self.vm,
             nursery,
@@ -128,8 +135,9 @@
         self._build_requests()
         self._build_operations()
         peers = {VmId(vm): address for vm, address in settings.peers.items()}
+        self.observers = Observers()
         self.heartbeats = Heartbeats(
-            self.membership, self.links, self.exchange, peers, self.adopt_config
+            self.membership, self.links, self.exchange, peers, self.adopt_config, self.observers
         )
         handler = NodeHandler(
             self.sender,
@@ -139,6 +147,8 @@
             self.claims,
             self.dispatcher.import_states,
             lambda vm: vm in self.links.list_peers(),
+            self.observers,
+            Handovers(self.membership, self.dispatcher, self.links, nursery),
         )
         self.server = PeerServer(settings.listen.peers, handler, self.links.counters)
 
@@ -414,18 +424,7 @@
         successors = self.membership.ownership.list_successors(states)
         by_vm: dict[VmId, list[HandedReplica]] = {}
         for replica, successor in successors.items():
-            state = states[replica]
-            by_vm.setdefault(successor, []).append(
-                HandedReplica(
-                    replica,
-                    state.cold,
-                    state.draining,
-                    state.limit,
-                    state.in_flight,
-                    state.start_id,
-                    state.version,
-                )
-            )
+            by_vm.setdefault(successor, []).append(make_handed(states[replica]))
         self.membership.begin_leave()
         async with trio.open_nursery() as nursery:
             for successor, replicas in by_vm.items():
@@ -442,7 +441,7 @@
 
     def find_successor(self) -> Member | None:
         """Return a VM without a seat that could take this one's, or None."""
-        return None
+        return self.observers.find_longest_heard(trio.current_time())
 
 
 def make_choice(baseline: str) -> ReplicaChoice | None:
