Pass on facts of other VMs every 2 s only; longer watches

Cause: every VM sent every changed fact to every peer, its origin included, with each heartbeat. Change: a VM tells its own facts with each heartbeat and those of others every 2 s, never to their origin; urgent facts still go on at once. A watch waits 10 s instead of 2 s. Ruled out: no relay at all, since a peer that is cut off from the origin would never hear of it.

--- a/programs/daemon/src/zinniarouterd/exchange.py
+++ b/programs/daemon/src/zinniarouterd/exchange.py
@@ -1,6 +1,7 @@
 """Sends facts to peers and takes theirs."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import trio
 
@@ -10,8 +11,26 @@
 from zinnia_peers.facts import make_records, read_records
 from zinnia_peers.links import PeerLinks
 
-# Facts per heartbeat; the rest follows on the next ones, so that control stays within its budget.
-MAX_FACTS_PER_HEARTBEAT = 64
+# Each VM tells its own facts. Those of others are passed on less often, for peers that are cut off
+# from the origin: with every heartbeat they would travel once from each VM to each peer.
+RELAY_INTERVAL_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """Facts for one peer, and the positions in the table up to which it then has them.
+
+    ``own`` counts the facts of this VM; ``relayed`` those of others, None if they are left out.
+    """
+
+    records: tuple[FactRecord, ...]
+    own: Cursor
+    relayed: Cursor | None
+
+
+def find_origin(fact: Fact) -> str:
+    """Return the VM that made a fact; origins may name its incarnation after a slash."""
+    return fact.origin.partition("/")[0]
 
 
 class FactExchange:
@@ -30,7 +49,9 @@
         self._facts = facts
         self._links = links
         self._on_new = on_new
-        self._cursors: dict[VmId, Cursor] = {}
+        self._own: dict[VmId, Cursor] = {}
+        self._relayed: dict[VmId, Cursor] = {}
+        self._relayed_at: dict[VmId, float] = {}
 
     def publish(self, fact: Fact) -> None:
         """Store a fact of this VM and push it to all peers at once."""
@@ -43,18 +64,33 @@
         for peer in self._links.list_peers():
             self._links.get(peer).notify(message)
 
-    def take_delta(self, peer: VmId, now: float) -> tuple[tuple[FactRecord, ...], Cursor]:
-        """Return what changed since the last delta that the peer confirmed, and the new cursor."""
-        changed, cursor = self._facts.changes_since(self._cursors.get(peer, Cursor(0)), now)
-        return make_records(changed), cursor
+    def take_delta(self, peer: VmId, now: float) -> Delta:
+        """Return what the peer should be told now."""
+        own = self._own.get(peer, Cursor(0))
+        if now - self._relayed_at.get(peer, float("-inf")) < RELAY_INTERVAL_S:
+            changed, cursor = self._facts.changes_since(own, now)
+            told = [fact for fact in changed if self._is_own(fact)]
+            return Delta(make_records(told), cursor, None)
+        self._relayed_at[peer] = now
+        relayed = self._relayed.get(peer, Cursor(0))
+        changed, cursor = self._facts.changes_since(min(own, relayed), now)
+        told = [fact for fact in changed if find_origin(fact) != peer]
+        return Delta(make_records(told), cursor, cursor)
+
+    def _is_own(self, fact: Fact) -> bool:
+        return find_origin(fact) == self._vm
 
-    def confirm(self, peer: VmId, cursor: Cursor) -> None:
-        """Note that the peer has all facts up to a cursor."""
-        self._cursors[peer] = max(self._cursors.get(peer, Cursor(0)), cursor)
+    def confirm(self, peer: VmId, delta: Delta) -> None:
+        """Note that the peer has received a delta."""
+        self._own[peer] = max(self._own.get(peer, Cursor(0)), delta.own)
+        if delta.relayed is not None:
+            self._relayed[peer] = max(self._relayed.get(peer, Cursor(0)), delta.relayed)
 
     def forget(self, peer: VmId) -> None:
         """Send everything again, because the peer has restarted."""
-        self._cursors.pop(peer, None)
+        self._own.pop(peer, None)
+        self._relayed.pop(peer, None)
+        self._relayed_at.pop(peer, None)
 
     def receive(self, records: Iterable[FactRecord]) -> None:
         """Merge the facts of a peer; urgent ones that are new go on to the other peers."""
--- a/programs/daemon/src/zinniarouterd/handler.py
+++ b/programs/daemon/src/zinniarouterd/handler.py
@@ -104,7 +104,7 @@
             self._heartbeats.hurry()
         facts = ()
         if not self._has_link(message.vm) and self._is_observer_due(message.vm, now):
-            facts, _ = self._exchange.take_delta(message.vm, now)
+            facts = self._exchange.take_delta(message.vm, now).records
         reply = self.membership.receive_heartbeat(message, now, facts)
         finding = self.membership.compare(message)
         if self._has_link(message.vm):
--- a/programs/daemon/src/zinniarouterd/heartbeats.py
+++ b/programs/daemon/src/zinniarouterd/heartbeats.py
@@ -89,15 +89,15 @@
 
     async def _send_one(self, peer: VmId) -> None:
         now = trio.current_time()
-        records, cursor = self._exchange.take_delta(peer, now)
-        message = self._membership.make_heartbeat(peer, now, records)
+        delta = self._exchange.take_delta(peer, now)
+        message = self._membership.make_heartbeat(peer, now, delta.records)
         try:
             reply = await self._links.get(peer).call(message, REPLY_LIMIT_S)
         except NO_REPLY:
             return
         if not isinstance(reply, HeartbeatReply):
             return
-        self._exchange.confirm(peer, cursor)
+        self._exchange.confirm(peer, delta)
         if reply.facts:
             self._exchange.receive(reply.facts)
         finding = self._membership.receive_reply(reply, trio.current_time())
--- a/programs/daemon/src/zinniarouterd/watching.py
+++ b/programs/daemon/src/zinniarouterd/watching.py
@@ -15,7 +15,8 @@
 from zinniarouterd.maps import MAPS_KIND, ShardMaps
 from zinniarouterd.writer import CONFIG_KIND, CONFIG_NAME, read_document
 
-WATCH_TIMEOUT_S = 2.0
+# Each renewal is a call on the platform. Contact with the members shows that a VM is current.
+WATCH_TIMEOUT_S = 10.0
 LEAVING = "leaving"
 
 
