--- a/tools/unit.py
+++ b/tools/unit.py
@@ -4,6 +4,8 @@
 import sys
 import unittest
 
+from hypothesis import settings
+
 
 class RecordingResult(unittest.TextTestResult):
     """Collects the id and the verdict of every test."""
@@ -41,6 +43,10 @@
 
 def main() -> int:
     """Run the tests below the directory that the command line names."""
+    # The same examples on every run and no time limit per example, so that the verdict depends on
+    # the code alone and not on chance or on a busy machine.
+    settings.register_profile("repeatable", derandomize=True, deadline=None)
+    settings.load_profile("repeatable")
     directory = sys.argv[1]
     suite = unittest.TestLoader().discover(directory, top_level_dir=directory)
     runner = unittest.TextTestRunner(resultclass=RecordingResult, verbosity=0)
