--- a/scenarios/processes/operators.feature
+++ b/scenarios/processes/operators.feature
@@ -12,22 +12,19 @@
     Then the daemon process ends with exit status 2 and names "--settings"
     And every VM of the running tier answers 5 queries whole
 
-  Scenario Outline: A request that is wrong is refused and nothing else suffers
+  Scenario: Requests that are wrong are refused and nothing else suffers
     When callers send queries to the running tier
-    And a running tier gets a request with <mistake>
-    Then the running tier refuses it with status <status> and reason <reason>
+    Then a running tier refuses these requests
+      | mistake                | status | reason          |
+      | a body that is no JSON | 400    | bad_request     |
+      | no deadline            | 400    | bad_request     |
+      | an unknown key         | 400    | bad_request     |
+      | an unknown service     | 404    | unknown_service |
+      | an unknown route       | 404    | unknown_route   |
+      | a body above 1 MB      | 413    | body_too_large  |
+      | a command without key  | 400    | key_missing     |
     And every request to the running tier was answered whole
 
-    Examples:
-      | mistake              | status | reason          |
-      | a body that is no JSON | 400  | bad_request     |
-      | no deadline          | 400    | bad_request     |
-      | an unknown key       | 400    | bad_request     |
-      | an unknown service   | 404    | unknown_service |
-      | an unknown route     | 404    | unknown_route   |
-      | a body above 1 MB    | 413    | body_too_large  |
-      | a command without key | 400   | key_missing     |
-
   Scenario: Commands of the operators' tool
     Given a running tier has answered a query and a command
     Then zinnia "status" ends with exit code 0 and prints "vm-1 in kochi, ready"
--- a/scenarios/steps/process_operator_steps.py
+++ b/scenarios/steps/process_operator_steps.py
@@ -13,7 +13,7 @@
 from zinnia_measure.processes import fetch, wait_until
 
 START_LIMIT_S = 15.0
-MOVE_S = 40.0
+MOVE_S = 36.0
 BODY_BYTES = 1_100_000
 
 
@@ -73,18 +73,16 @@
     return path, json.dumps(values[mistake]).encode()
 
 
-@when("a running tier gets a request with {mistake}")
-def send_wrong(context, mistake):
-    path, body = make_wrong_request(mistake)
-    reply = fetch("POST", f"http://{context.tier.plan.daemons[1].callers}{path}", body)
-    context.refusal = (reply.status, json.loads(reply.content))
-
-
-@then("the running tier refuses it with status {status:d} and reason {reason}")
-def check_refusal(context, status, reason):
-    got, answer = context.refusal
-    assert (got, answer["reason"]) == (status, reason), context.refusal
-    assert answer["outcome"] == "not_run" and answer["message"], context.refusal
+@then("a running tier refuses these requests")
+def check_refusals(context):
+    url = f"http://{context.tier.plan.daemons[1].callers}"
+    for row in context.table:
+        path, body = make_wrong_request(row["mistake"])
+        reply = fetch("POST", url + path, body)
+        answer = json.loads(reply.content)
+        got = (str(reply.status), answer["reason"], answer["outcome"])
+        assert got == (row["status"], row["reason"], "not_run"), (row["mistake"], got, answer)
+        assert answer["message"], (row["mistake"], answer)
 
 
 # The operators' tool
--- a/scenarios/steps/process_steps.py
+++ b/scenarios/steps/process_steps.py
@@ -34,8 +34,12 @@
 
 def close_tier() -> None:
     tier = running.pop("tier", None)
-    if tier is not None:
-        tier.__exit__(None, None, None)
+    if tier is None:
+        return
+    # Graceful stops have scenarios of their own; here they would only take time.
+    for vm in tier.vms:
+        tier.processes.kill(vm)
+    tier.__exit__(None, None, None)
 
 
 @given("a running tier of 3 daemons")
