--- a/programs/measure/src/zinnia_measure/deployment.py
+++ b/programs/measure/src/zinnia_measure/deployment.py
@@ -19,6 +19,7 @@
 # Service times of the stand-ins: a search over one shard of a small index.
 MEDIAN_MS = 5.0
 SIGMA = 0.2
+SEED_STRIDE = 100_000
 
 _guards: list[socket.socket] = []
 
@@ -129,7 +130,9 @@
     for service in size.services:
         for version in versions:
             for replica in list_replicas(service, size.data_centres, version):
-                replica |= {"port": next(ports), "seed": seed, "median_ms": median_ms}
+                # With one seed for all, every replica would be slow at the same request number.
+                replica_seed = seed * SEED_STRIDE + len(plan.replicas)
+                replica |= {"port": next(ports), "seed": replica_seed, "median_ms": median_ms}
                 replica |= {"sigma": SIGMA, "cold": cold or {"at_start": False}}
                 plan.replicas.append(replica)
     addresses = [tuple(f"{LOOPBACK}:{next(ports)}" for _ in range(3)) for _ in range(daemons)]
