--- a/libs/model/src/zinnia_model/messages.py
+++ b/libs/model/src/zinnia_model/messages.py
@@ -42,7 +42,9 @@
 
     ``view`` identifies the holders of all seats, because seats change hands within an epoch during
     a platform outage. ``leaving`` says that this incarnation has given up every promise it held and
-    never acts as owner again.
+    never acts as owner again. ``standby`` says that this incarnation has not acted as owner yet;
+    false withdraws every standby promise that it gave. ``peer_address`` and ``data_centre`` are
+    sent by a VM without a seat, which no member list describes.
     """
 
     vm: VmId
@@ -53,6 +55,9 @@
     config_revision: Revision = Revision(0)
     leaving: bool = False
     facts: tuple[FactRecord, ...] = ()
+    standby: bool = False
+    peer_address: str = ""
+    data_centre: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +67,7 @@
     ``sequence`` and ``asker_incarnation`` repeat those of the heartbeat. ``alive`` is the promise
     about the asker, ``dead`` lists the members about whom ``vm`` promises DEAD as of this reply.
     ``settled`` says that every promise which ``vm`` gave under another view has expired.
+    ``standby`` promises that ``vm`` does not act as owner for the duration of a promise.
     """
 
     vm: VmId
@@ -74,6 +80,7 @@
     dead: tuple[VmId, ...] = ()
     config_revision: Revision = Revision(0)
     facts: tuple[FactRecord, ...] = ()
+    standby: bool = False
 
 
 @dataclass(frozen=True, slots=True)
