--- a/libs/membership/tests/test_exclusive.py
+++ b/libs/membership/tests/test_exclusive.py
@@ -192,6 +192,13 @@
     def leave(self, vm):
         self.cell.nodes[self.names[vm]].membership.begin_leave()
 
+    @rule(vm=INDEX)
+    def rejoin(self, vm):
+        node = self.cell.nodes[self.names[vm]]
+        if node.exists and node.membership.is_leaving:
+            node.runs += 1
+            node.membership.rejoin(str(node.runs), node.clock(self.cell.now))
+
     @rule(writer=INDEX, vms=st.lists(INDEX, min_size=1, max_size=3), removes=st.booleans())
     def change_list(self, writer, vms, removes):
         for name in (self.names[vm] for vm in vms):
