Measure the product beside its baselines; slopes and fan-out cost

Backend stand-ins are split over several processes.

Faults found and fixed on the way: - `switches.baseline: round_robin` ended every daemon at its start, because the choice got no timeout; `baseline_timeout_ms` sets it. - A ready daemon logged its readiness every second.

--- a/programs/daemon/src/zinniarouterd/node.py
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -46,7 +46,7 @@
 from zinniarouterd.maps import ShardMaps, list_all_records
 from zinniarouterd.metrics import Metrics
 from zinniarouterd.senders import CountingSender, SenderDirectory
-from zinniarouterd.settings import Settings
+from zinniarouterd.settings import Settings, Switches
 from zinniarouterd.status import StatusReport
 from zinniarouterd.topology import LiveTopology, make_refusal_check, read_wall_ms
 from zinniarouterd.watching import PlatformWatch
@@ -170,7 +170,7 @@
             refuse_check,
             is_suspect,
             RoutingSwitches(switches.hedging, switches.load_aware, switches.admission),
-            make_choice(switches.baseline),
+            make_choice(switches),
         )
         self.claims = Claims(
             self.seams.store,
@@ -405,10 +405,10 @@
         return None
 
 
-def make_choice(baseline: str) -> ReplicaChoice | None:
+def make_choice(switches: Switches) -> ReplicaChoice | None:
     """Return the replica choice of a baseline, for measurements."""
-    if baseline == "random":
+    if switches.baseline == "random":
         return RandomChoice()
-    if baseline == "round_robin":
-        return RoundRobinChoice()
+    if switches.baseline == "round_robin":
+        return RoundRobinChoice(switches.baseline_timeout_ms / 1000)
     return None
--- a/programs/daemon/src/zinniarouterd/service.py
+++ b/programs/daemon/src/zinniarouterd/service.py
@@ -98,7 +98,7 @@
 
 async def update_gauges(node: Node) -> None:
     """Refresh the gauges every second and log each change of readiness."""
-    metrics, was = node.metrics, None
+    metrics, logged, was = node.metrics, False, None
     while True:
         obstacle = node.gate.find_obstacle()
         metrics.ready.set(obstacle is None)
@@ -112,9 +112,9 @@
             ):
                 metrics.peer_bytes.labels(plane, direction.value).set(count.frame_bytes)
         metrics.note_platform_calls(node.seams.limiter)
-        if obstacle is not was or was is None:
+        if obstacle is not was or not logged:
             logger.bind(ready=obstacle is None, reason=obstacle and obstacle.value).info(
                 "readiness"
             )
-        was = obstacle
+        logged, was = True, obstacle
         await trio.sleep(GAUGE_INTERVAL_S)
--- a/programs/daemon/src/zinniarouterd/settings.py
+++ b/programs/daemon/src/zinniarouterd/settings.py
@@ -59,12 +59,16 @@
 
 
 class Switches(Section):
-    """Decisions that a measurement may turn off; leave all of them on in production."""
+    """Decisions that a measurement may turn off; leave all of them on in production.
+
+    ``baseline_timeout_ms`` is the fixed timeout of the ``round_robin`` baseline.
+    """
 
     hedging: bool = True
     load_aware: bool = True
     admission: bool = True
     baseline: Annotated[str, StringConstraints(pattern=r"^(|random|round_robin)$")] = ""
+    baseline_timeout_ms: int = Field(default=50, ge=1, le=60_000)
 
 
 class Settings(Section):
--- a/programs/measure/src/zinnia_measure/deployment.py
+++ b/programs/measure/src/zinnia_measure/deployment.py
@@ -40,7 +40,7 @@
     directory: Path
     size: DeploymentSize
     platform_port: int
-    control_port: int
+    control_ports: list[int]
     daemons: list[DaemonPlan] = field(default_factory=list)
     replicas: list[dict] = field(default_factory=list)
 
@@ -50,14 +50,13 @@
         return f"http://{LOOPBACK}:{self.platform_port}"
 
     @property
-    def backends_url(self) -> str:
-        """URL of the control port of the backend server stand-ins."""
-        return f"http://{LOOPBACK}:{self.control_port}"
+    def backends_urls(self) -> list[str]:
+        """URLs of the control ports of the backend server stand-ins, one for each process."""
+        return [f"http://{LOOPBACK}:{port}" for port in self.control_ports]
 
-    @property
-    def backends_file(self) -> Path:
-        """Deployment file of the backend server stand-ins."""
-        return self.directory / "backends.yaml"
+    def name_backends_file(self, process: int) -> Path:
+        """Return the deployment file of one process of backend server stand-ins."""
+        return self.directory / f"backends-{process}.yaml"
 
 
 def pick_ports(count: int) -> list[int]:
@@ -97,6 +96,7 @@
     cold: dict | None = None,
     switches: dict | None = None,
     median_ms: float = MEDIAN_MS,
+    backend_processes: int = 1,
 ) -> RunPlan:
     """Choose ports and write the settings of all processes of a run.
 
@@ -108,10 +108,13 @@
         Cold start of the replicas; by default they start warm.
     switches : dict, optional
         Decisions of the daemons to turn off.
+    backend_processes : int
+        Processes that share the replicas; one carries 800 to 1,000 requests a second.
     """
     replica_count = sum(s.shards * s.replicas for s in size.services) * len(versions)
-    ports = iter(pick_ports(2 + 3 * daemons + replica_count))
-    plan = RunPlan(directory, size, next(ports), next(ports))
+    ports = iter(pick_ports(1 + backend_processes + 3 * daemons + replica_count))
+    control_ports = [next(ports) for _ in range(backend_processes)]
+    plan = RunPlan(directory, size, next(ports), control_ports)
     directory.mkdir(parents=True, exist_ok=True)
     for service in size.services:
         for version in versions:
@@ -154,7 +157,9 @@
 def write_files(plan: RunPlan, seed: int, switches: dict) -> None:
     """Write the deployment file of the backend servers and the settings of each daemon."""
     yaml = YAML(typ="safe", pure=True)
-    yaml.dump(plan.replicas, plan.backends_file)
+    processes = len(plan.control_ports)
+    for process in range(processes):
+        yaml.dump(plan.replicas[process::processes], plan.name_backends_file(process))
     for daemon in plan.daemons:
         others = {other.vm: other.peers for other in plan.daemons if other is not daemon}
         settings = {
--- a/programs/measure/src/zinnia_measure/main.py
+++ b/programs/measure/src/zinnia_measure/main.py
@@ -2,8 +2,12 @@
 
 from cleo.application import Application
 from cleo.commands.command import Command
+from cleo.helpers import option
 
 from zinnia_measure.demo import DemoFailedError, run_demo
+from zinnia_measure.fanout import run_fan_out
+from zinnia_measure.measurement import DEFAULT_SEED, run_measurement
+from zinnia_measure.slopes import run_slopes
 
 
 class DemoCommand(Command):
@@ -22,10 +26,71 @@
         return 0
 
 
+class MeasureCommand(Command):
+    """Measures the product beside its baselines."""
+
+    name = "measure"
+    description = "Measure latency, coverage and cost of the product and of its baselines."
+    options = [
+        option("quick", None, "A few rows in under a minute."),
+        option("seed", None, "Seed of all random choices.", flag=False, default=str(DEFAULT_SEED)),
+        option("size", None, "Only this deployment size.", flag=False, default=""),
+        option("rows", None, "Only rows with this text in their group.", flag=False, default=""),
+        option("output", None, "Directory.", flag=False, default="docs/measurements"),
+    ]
+
+    def handle(self) -> int:
+        """Measure and name the report."""
+        path = run_measurement(
+            self.option("quick"),
+            int(self.option("seed")),
+            self.option("size"),
+            self.option("rows"),
+            self.option("output"),
+        )
+        self.line(f"written to {path}")
+        return 0
+
+
+class SlopesCommand(Command):
+    """Measures the cost per unit of what grows with the fleet."""
+
+    name = "slopes"
+    description = "Measure the slopes that docs/CAPACITY.md multiplies."
+    options = [option("output", None, "Directory.", flag=False, default="docs/measurements")]
+
+    def handle(self) -> int:
+        """Measure and name the report."""
+        self.line(f"written to {run_slopes(self.option('output'))}")
+        return 0
+
+
+class FanOutCommand(Command):
+    """Compares the fan-out with plain connections, and four daemons with one."""
+
+    name = "fan-out"
+    description = "Measure processor time of a fan-out and its time over four daemons."
+    options = [
+        option("seed", None, "Seed of all random choices.", flag=False, default=str(DEFAULT_SEED)),
+        option("cost-only", None, "Leave out the runs over daemons."),
+        option("output", None, "Directory.", flag=False, default="docs/measurements"),
+    ]
+
+    def handle(self) -> int:
+        """Measure and name the report."""
+        spread = not self.option("cost-only")
+        path = run_fan_out(int(self.option("seed")), self.option("output"), spread)
+        self.line(f"written to {path}")
+        return 0
+
+
 def main() -> int:
     """Run the command that the command line names."""
     application = Application("zinnia-measure")
     application.add(DemoCommand())
+    application.add(MeasureCommand())
+    application.add(FanOutCommand())
+    application.add(SlopesCommand())
     return application.run()
 
 
--- a/programs/measure/src/zinnia_measure/tier.py
+++ b/programs/measure/src/zinnia_measure/tier.py
@@ -44,10 +44,13 @@
     def _start_all(self) -> None:
         plan = self.plan
         self.start_standin(PLATFORM, "--port", str(plan.platform_port))
-        arguments = ["--file", str(plan.backends_file), "--control-port", str(plan.control_port)]
-        self.start_standin(BACKENDS, *arguments)
+        for process, port in enumerate(plan.control_ports):
+            file = str(plan.name_backends_file(process))
+            arguments = ("--file", file, "--control-port", str(port))
+            self.start_standin(BACKENDS, *arguments, name=f"{BACKENDS}-{process}")
         wait_until(lambda: answers(f"{plan.platform_url}/counts"), "start of the platform")
-        wait_until(lambda: answers(f"{plan.backends_url}/counts"), "start of the backend servers")
+        for url in plan.backends_urls:
+            wait_until(lambda u=url: answers(f"{u}/counts"), "start of the backend servers")
         for service, shard_map in build_shard_maps(plan).items():
             self.put_object("shardmaps", service, shard_map)
         for daemon in plan.daemons:
@@ -65,10 +68,10 @@
         status, answer = self.query(service, {"probe": time.monotonic()}, vm=vm)
         return status == 200 and not answer["coverage"]["missing"]
 
-    def start_standin(self, name: str, *arguments: str) -> None:
-        """Start a stand-in process."""
+    def start_standin(self, command: str, *arguments: str, name: str = "") -> None:
+        """Start a stand-in process; ``name`` tells several of one kind apart."""
         self.processes.start(
-            name, "zinnia_standins.main", name, *arguments, "--lifetime", LIFETIME_S
+            name or command, "zinnia_standins.main", command, *arguments, "--lifetime", LIFETIME_S
         )
 
     def start_daemon(self, daemon: DaemonPlan) -> None:
@@ -79,6 +82,10 @@
         """Return whether a daemon takes requests."""
         return answers(f"http://{daemon.callers}/readyz")
 
+    def wait_ready(self, daemon: DaemonPlan) -> None:
+        """Wait until a daemon that was started again takes requests."""
+        wait_until(lambda: self.is_ready(daemon), f"readiness of {daemon.vm}")
+
     def sees_all_members(self, vm: int) -> bool:
         """Return whether a daemon hears every other one as a member."""
         rows = self.admin(vm, "GET", "status")[1]["members"]
@@ -109,12 +116,15 @@
     def set_backend_faults(self, match: dict, **faults) -> list[str]:
         """Switch faults of the matching replicas; return their ids."""
         body = json.dumps({"match": match, "faults": faults}).encode()
-        reply = fetch("POST", f"{self.plan.backends_url}/faults", body)
-        return json.loads(reply.content)["matched"]
+        replies = [fetch("POST", f"{url}/faults", body) for url in self.plan.backends_urls]
+        return [name for reply in replies for name in json.loads(reply.content)["matched"]]
 
     def count_backends(self) -> dict[str, dict]:
         """Return the counters of every replica."""
-        return json.loads(fetch("GET", f"{self.plan.backends_url}/counts").content)
+        rows = {}
+        for url in self.plan.backends_urls:
+            rows |= json.loads(fetch("GET", f"{url}/counts").content)
+        return rows
 
     def count_platform(self) -> dict[str, int]:
         """Return the calls that the platform has counted."""
