--- a/programs/measure/src/zinnia_measure/deployment.py
+++ b/programs/measure/src/zinnia_measure/deployment.py
@@ -10,8 +10,9 @@
 from zinnia_measure.sizes import DeploymentSize, ServiceSize
 
 LOOPBACK = "127.0.0.1"
-PORTS = range(10_000, 32_000)
-_taken: set[int] = set()
+# Linux takes the ports of outgoing connections from 32768 up by default.
+BLOCK_SIZE = 500
+PORT_BLOCKS = range(12_000, 32_000, BLOCK_SIZE)
 FIRST_SNAPSHOT = "s1"
 OLD_VERSION = "v1"
 NEW_VERSION = "v2"
@@ -20,6 +21,8 @@
 SIGMA = 0.2
 SEED_STRIDE = 100_000
 
+_guards: list[socket.socket] = []
+
 
 @dataclass(frozen=True, slots=True)
 class DaemonPlan:
@@ -60,31 +63,42 @@
 
 
 def pick_ports(count: int) -> list[int]:
-    """Return consecutive free ports that no earlier call of this process returned.
+    """Return free ports that no other run on this machine gets while this process lives.
 
-    They lie below the range from which the kernel takes ports of outgoing connections, because one
-    of those could be in use again before the process that shall listen on it starts. Consecutive
-    ports make it unlikely that two runs at the same time choose the same.
+    The first port of a block stays bound as the sign that the block is taken. The blocks lie below
+    the ports of outgoing connections, which may take any port before its process listens on it.
     """
-    first = random.choice(PORTS)
-    free: list[int] = []
-    for port in (*range(first, PORTS.stop), *range(PORTS.start, first)):
-        if port not in _taken and is_free(port):
-            free.append(port)
-        if len(free) == count:
-            break
-    _taken.update(free)
-    return free
+    ports: list[int] = []
+    starts = random.Random().sample(PORT_BLOCKS, len(PORT_BLOCKS))
+    while starts and len(ports) < count:
+        start = starts.pop()
+        guard = bind_port(start)
+        if guard is None:
+            continue
+        _guards.append(guard)
+        ports += [port for port in range(start + 1, start + BLOCK_SIZE) if is_free(port)]
+    if len(ports) < count:
+        raise RuntimeError(f"no {count} free ports in {PORT_BLOCKS}; end other runs first")
+    return ports[:count]
+
+
+def bind_port(port: int) -> socket.socket | None:
+    """Return a socket that is bound to a port of loopback, None if the port is taken."""
+    bound = socket.socket()
+    try:
+        bound.bind((LOOPBACK, port))
+    except OSError:
+        bound.close()
+        return None
+    return bound
 
 
 def is_free(port: int) -> bool:
-    """Return whether nothing listens on a port of the loopback address."""
-    with socket.socket() as probe:
-        try:
-            probe.bind((LOOPBACK, port))
-        except OSError:
-            return False
-    return True
+    """Return whether nothing is bound to a port at this moment."""
+    bound = bind_port(port)
+    if bound is not None:
+        bound.close()
+    return bound is not None
 
 
 def plan_run(
--- a/programs/measure/src/zinnia_measure/experiments.py
+++ b/programs/measure/src/zinnia_measure/experiments.py
@@ -198,11 +198,13 @@
     """Start a tier for each variant and measure rows on them, one run after the other."""
     plans = {variant.name: lay_out(size, variant, seed, **layout) for variant in variants}
     with ExitStack() as stack, ThreadPoolExecutor(len(plans)) as pool:
-        started = pool.map(Tier.__enter__, [Tier(plan) for plan in plans.values()])
-        tiers = {}
-        for name, tier in zip(plans, started, strict=True):
-            tiers[name] = tier
-            stack.push(tier.__exit__)
+        tiers = {name: Tier(plan) for name, plan in plans.items()}
+        starts = [pool.submit(tier.__enter__) for tier in tiers.values()]
+        for tier, start in zip(tiers.values(), starts, strict=True):
+            if start.exception() is None:  # a tier that failed to start has stopped by itself
+                stack.push(tier.__exit__)
+        for start in starts:
+            start.result()
         cells = []
         for row in rows:
             cells += measure_row(tiers, row, timing, seed)
