--- a/programs/measure/src/zinnia_measure/rows.py
+++ b/programs/measure/src/zinnia_measure/rows.py
@@ -14,6 +14,8 @@
 WIDE_SERVICE = f"fan-out-{FAN_OUT}"
 STRAGGLERS = {"straggler_fraction": 0.02, "straggler_factor": 20.0}
 NO_STRAGGLERS = {"straggler_fraction": 0.0}
+SHORTEST_MOVE_S = 25.0  # a note whose hour is nearer is refused
+MOVE_MARGIN_S = 12.0  # DONE is written at least 10 s before the hour
 BAD_ROUTE = "search"
 DEADLINE_MS = 1000
 # Sub-requests a second. At 1,200 the p50 of a quiet tier was 26 to 190 ms while other work ran on
@@ -144,7 +146,7 @@
 
 def plan_release(tier: Tier, run_s: float) -> Sequence[Event]:
     """Apply a release note that is due shortly after the run."""
-    return ((0.5, lambda: apply_release(tier, run_s + 12.0)),)
+    return ((0.5, lambda: apply_release(tier, max(run_s, SHORTEST_MOVE_S) + MOVE_MARGIN_S)),)
 
 
 QUIET = Row("quiet", pick_first)
