--- a/programs/measure/src/zinnia_measure/fanout.py
+++ b/programs/measure/src/zinnia_measure/fanout.py
@@ -38,6 +38,8 @@
 MEDIAN_MS = 5.0
 SHORT_MEDIAN_MS = 1.0  # so that processor time outweighs service time
 BACKEND_PROCESSES = 4
+# 110 requests take 4 processes about 30 ms, more than half of what one daemon needs.
+SPREAD_BACKEND_PROCESSES = 8
 BODY = b'{"seed":1,"number":4711}'
 VM = VmId("vm-1")
 HEADERS = [
@@ -213,7 +215,9 @@
         return trio.run(compare_paths, ShardMap.model_validate(shard_map), fan_out)
 
 
-def lay_out(fan_out: int, daemons: int, seed: int, median_ms: float) -> RunPlan:
+def lay_out(
+    fan_out: int, daemons: int, seed: int, median_ms: float, processes: int = BACKEND_PROCESSES
+) -> RunPlan:
     """Plan one run of a fan-out."""
     return plan_run(
         make_directory(f"fan-out-{fan_out}"),
@@ -221,7 +225,7 @@
         daemons,
         seed,
         median_ms=median_ms,
-        backend_processes=BACKEND_PROCESSES,
+        backend_processes=processes,
     )
 
 
@@ -239,7 +243,8 @@
 def measure_spread(fan_out: int, seed: int, daemons: Sequence[int]) -> dict[int, list[float]]:
     """Return the times of a fan-out over each number of daemons, in alternating rounds."""
     found: dict[int, list[float]] = {count: [] for count in daemons}
-    plans = {count: lay_out(fan_out, count, seed, SHORT_MEDIAN_MS) for count in daemons}
+    processes = SPREAD_BACKEND_PROCESSES
+    plans = {n: lay_out(fan_out, n, seed, SHORT_MEDIAN_MS, processes) for n in daemons}
     first, second = daemons
     with Tier(plans[first]) as one, Tier(plans[second]) as four:
         tiers = {first: one, second: four}
