--- /dev/null
+++ b/scenarios/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes and drivers of the scenarios."""
