--- a/programs/measure/src/zinnia_measure/deployment.py
+++ b/programs/measure/src/zinnia_measure/deployment.py
@@ -1,5 +1,6 @@
 """Lays out one run: ports, settings files, stand-ins, configuration and shard maps."""
 
+import random
 import socket
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -9,12 +10,18 @@
 from zinnia_measure.sizes import DeploymentSize, ServiceSize
 
 LOOPBACK = "127.0.0.1"
+# Linux takes the ports of outgoing connections from 32768 up by default.
+BLOCK_SIZE = 500
+PORT_BLOCKS = range(12_000, 32_000, BLOCK_SIZE)
 FIRST_SNAPSHOT = "s1"
 OLD_VERSION = "v1"
 NEW_VERSION = "v2"
 # Service times of the stand-ins: a search over one shard of a small index.
 MEDIAN_MS = 5.0
 SIGMA = 0.2
+SEED_STRIDE = 100_000
+
+_guards: list[socket.socket] = []
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,15 +64,42 @@
 
 
 def pick_ports(count: int) -> list[int]:
-    """Return free ports; all are held open until the last is known, so none repeats."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return free ports that no other run on this machine gets while this process lives.
+
+    The first port of a block stays bound as the sign that the block is taken. The blocks lie below
+    the ports of outgoing connections, which may take any port before its process listens on it.
+    """
+    ports: list[int] = []
+    starts = random.Random().sample(PORT_BLOCKS, len(PORT_BLOCKS))
+    while starts and len(ports) < count:
+        start = starts.pop()
+        guard = bind_port(start)
+        if guard is None:
+            continue
+        _guards.append(guard)
+        ports += [port for port in range(start + 1, start + BLOCK_SIZE) if is_free(port)]
+    if len(ports) < count:
+        raise RuntimeError(f"no {count} free ports in {PORT_BLOCKS}; end other runs first")
+    return ports[:count]
+
+
+def bind_port(port: int) -> socket.socket | None:
+    """Return a socket that is bound to a port of loopback, None if the port is taken."""
+    bound = socket.socket()
     try:
-        for held in sockets:
-            held.bind((LOOPBACK, 0))
-        return [held.getsockname()[1] for held in sockets]
-    finally:
-        for held in sockets:
-            held.close()
+        bound.bind((LOOPBACK, port))
+    except OSError:
+        bound.close()
+        return None
+    return bound
+
+
+def is_free(port: int) -> bool:
+    """Return whether nothing is bound to a port at this moment."""
+    bound = bind_port(port)
+    if bound is not None:
+        bound.close()
+    return bound is not None
 
 
 def plan_run(
@@ -96,7 +130,9 @@
     for service in size.services:
         for version in versions:
             for replica in list_replicas(service, size.data_centres, version):
-                replica |= {"port": next(ports), "seed": seed, "median_ms": median_ms}
+                # With one seed for all, every replica would be slow at the same request number.
+                replica_seed = seed * SEED_STRIDE + len(plan.replicas)
+                replica |= {"port": next(ports), "seed": replica_seed, "median_ms": median_ms}
                 replica |= {"sigma": SIGMA, "cold": cold or {"at_start": False}}
                 plan.replicas.append(replica)
     addresses = [tuple(f"{LOOPBACK}:{next(ports)}" for _ in range(3)) for _ in range(daemons)]
