Read the platform at most once per interval without peers

Cause: a VM that is no watcher and has no majority left _watch at once, so _follow listed the objects again without a pause. Found by the pair scenario 'A command at a VM that is cut off and at another one': PlatformWatch._follow ran 48,722 steps at one instant of the mock clock. The call limiter ended each burst only after the VM's share of the read budget was spent. Change: the pause comes before the check, so such a VM lists once per poll interval. Before: 'make scenarios ONLY="does not flood"' does not end. After: at most 40 calls in any second from 4 VMs, two scenarios of random_faults and pairs that did not end pass. Ruled out: a pause in _follow, which would delay the return from a watch as well.

--- a/programs/daemon/src/zinniarouterd/watching.py
+++ b/programs/daemon/src/zinniarouterd/watching.py
@@ -89,9 +89,12 @@
             items, cursor = await self._store.watch(kind, cursor, WATCH_TIMEOUT_S)
             self._note_up(True)
             take(items)
-        # Rank and contact change with time alone, so there is no event to wait for.
-        while not self._is_watcher() and not self._needs_read():  # noqa: ASYNC110
+        # Rank and contact change with time alone, so there is no event to wait for. A VM that its
+        # peers do not reach reads once per interval; without the pause it read without end.
+        while not self._is_watcher():
             await trio.sleep(self._poll_s * self._random.uniform(0.5, 1.5))
+            if self._needs_read():
+                return
 
     def _is_watcher(self) -> bool:
         membership = self._find_membership()
