--- a/scenarios/environment.py
+++ b/scenarios/environment.py
@@ -18,7 +18,14 @@
         logger.add(sys.stderr, level=level)
 
 
+def runs_processes(scenario):
+    """Whether a scenario runs real processes and needs no fakes."""
+    return "processes" in Path(scenario.filename).parts
+
+
 def before_scenario(context, scenario):
+    if runs_processes(scenario):
+        return
     seed = int(context.config.userdata.get("seed", 1))
     context.seed = seed
     context.stage = Stage(seed, lambda nursery, freezer: FakeTier(nursery, freezer, seed))
@@ -27,4 +34,5 @@
 
 
 def after_scenario(context, scenario):
-    context.stage.close()
+    if not runs_processes(scenario):
+        context.stage.close()
--- a/scenarios/steps/at_most_once.py
+++ b/scenarios/steps/at_most_once.py
@@ -22,6 +22,12 @@
     context.exchanges[vm] = tier.command(vm, key)
 
 
+@when("key {key} is sent to {vm:Vm} with {seconds:g} s to answer")
+@scripted
+async def send_patiently(context, tier, key, vm, seconds):
+    context.exchanges[vm] = tier.command(vm, key, int(seconds * 1000))
+
+
 @then("{vm:Vm} answers {outcome} within {seconds:g} s")
 @scripted
 async def check_outcome(context, tier, vm, outcome, seconds):
@@ -60,3 +66,9 @@
 @scripted
 async def lose_reply_late(context, tier, seconds):
     tier.core.set_faults({"lose_replies": 1, "late_write_s": seconds})
+
+
+@then("key {key} ran at most once")
+@scripted
+async def check_at_most_once(context, tier, key):
+    assert count_runs(tier, key) <= 1, f"{key} ran {count_runs(tier, key)} times"
--- a/scenarios/steps/operations.py
+++ b/scenarios/steps/operations.py
@@ -4,7 +4,6 @@
 
 import trio
 from behave import then, when
-
 from steps.common import READY_WITHIN_S, make_config, scripted, wait_for
 
 
@@ -107,3 +106,19 @@
         await trio.sleep(seconds)
         await tier.stop(old)
         await trio.sleep(seconds)
+
+
+@then("{count:d} VMs are ready")
+@scripted
+async def check_all_ready(context, tier, count):
+    assert len(tier.list_ready()) == count, tier.list_ready()
+
+
+@then("the platform gets at most {limit:d} calls in any second of the next {seconds:d} s")
+@scripted
+async def check_calls(context, tier, limit, seconds):
+    for _ in range(seconds):
+        before = tier.core.counts.total()
+        await trio.sleep(1.0)
+        calls = tier.core.counts.total() - before
+        assert calls <= limit, f"{calls} calls in a second"
--- a/scenarios/support/tier.py
+++ b/scenarios/support/tier.py
@@ -273,7 +273,8 @@
         while not ends.is_set():
             ready = self.list_ready()
             if ready:
-                self.query(self.random.choice(ready), deadline_ms)
+                route = self.random.choice(("search", "lookup"))
+                self.query(self.random.choice(ready), deadline_ms, route)
             await trio.sleep(self.random.expovariate(rate))
 
 
