--- /dev/null
+++ b/programs/daemon/src/zinniarouterd/departure.py
@@ -0,0 +1,62 @@
+"""Gives up what this VM holds before it stops or goes out of service."""
+
+import trio
+
+from zinnia_backends.dispatcher import ReplicaDispatcher
+from zinnia_membership.keeper import MemberKeeper
+from zinnia_membership.membership import Membership
+from zinnia_model.ids import ReplicaId, VmId
+from zinnia_model.replicas import ReplicaFact
+from zinnia_peers.links import PeerLinks
+from zinniarouterd.handovers import send_handover
+from zinniarouterd.heartbeats import Heartbeats
+from zinniarouterd.observers import Observers
+
+# Heartbeats that say so are on their way for this long before the next step.
+LEAVE_PAUSE_S = 0.05
+
+
+class Departure:
+    """Hands over the replicas and the seat of this VM."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        dispatcher: ReplicaDispatcher,
+        links: PeerLinks,
+        heartbeats: Heartbeats,
+        observers: Observers,
+    ) -> None:
+        self._membership = membership
+        self._dispatcher = dispatcher
+        self._links = links
+        self._heartbeats = heartbeats
+        self._observers = observers
+
+    async def hand_over(self, deadline: float) -> None:
+        """Finish accepted sub-requests, then give the replicas to their next owners."""
+        await self._dispatcher.drain(deadline)
+        states = {ReplicaId(state.replica): state for state in self._dispatcher.export_states()}
+        by_vm: dict[VmId, list[ReplicaFact]] = {}
+        for replica, vm in self._membership.ownership.list_successors(states).items():
+            by_vm.setdefault(vm, []).append(states[replica])
+        self._membership.begin_leave()
+        async with trio.open_nursery() as nursery:
+            for vm, handed in by_vm.items():
+                nursery.start_soon(send_handover, self._membership, self._links, vm, handed)
+        await self._tell_peers()
+
+    async def give_up_seat(self, keeper: MemberKeeper) -> None:
+        """Leave the member list, or hand the seat over while the platform is down."""
+        transfer = await keeper.leave(
+            lambda: self._observers.find_longest_heard(trio.current_time())
+        )
+        if transfer is None:
+            return
+        for peer in self._links.list_peers():
+            self._links.get(peer).notify(transfer)
+        await self._tell_peers()
+
+    async def _tell_peers(self) -> None:
+        self._heartbeats.hurry()
+        await trio.sleep(LEAVE_PAUSE_S)
--- a/programs/daemon/src/zinniarouterd/handovers.py
+++ b/programs/daemon/src/zinniarouterd/handovers.py
@@ -1,5 +1,7 @@
 """Hands replicas to a VM that has become ready to act and ranks above this one for them."""
 
+from collections.abc import Iterable
+
 import trio
 from loguru import logger
 
@@ -28,6 +30,20 @@
     )
 
 
+async def send_handover(
+    membership: Membership, links: PeerLinks, vm: VmId, states: Iterable[ReplicaFact]
+) -> None:
+    """Give the states of replicas to their next owner; without an answer it starts them cold."""
+    handed = tuple(make_handed(state) for state in states)
+    message = Handover(membership.vm, membership.incarnation, handed)
+    try:
+        await links.get(vm).call(message, HANDOVER_LIMIT_S)
+    except (PeerLostError, PeerTimeoutError) as error:
+        logger.bind(vm_to=vm, error=str(error)).warning("handover_failed")
+        return
+    logger.bind(vm_to=vm, replicas=len(handed)).info("handed_over")
+
+
 class Handovers:
     """Gives up the replicas that this VM had only while another was in standby."""
 
@@ -69,11 +85,4 @@
         states = await self._dispatcher.cede(replicas, deadline_at)
         if not states or vm not in self._links.list_peers():
             return
-        handed = tuple(make_handed(state) for state in states)
-        message = Handover(self._membership.vm, self._membership.incarnation, handed)
-        try:
-            await self._links.get(vm).call(message, HANDOVER_LIMIT_S)
-        except (PeerLostError, PeerTimeoutError) as error:
-            logger.bind(vm_to=vm, error=str(error)).warning("handover_failed")
-            return
-        logger.bind(vm_to=vm, replicas=len(handed)).info("handed_over")
+        await send_handover(self._membership, self._links, vm, states)
--- a/programs/daemon/src/zinniarouterd/node.py
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -18,11 +18,11 @@
 from zinnia_model.configuration import ConfigDocument, DataCentreState
 from zinnia_model.ids import ReplicaId, ServiceId, VmId
 from zinnia_model.members import Member, MemberList
-from zinnia_model.messages import HandedReplica, Handover, MemberPush
+from zinnia_model.messages import MemberPush
 from zinnia_model.ownership import Standing
 from zinnia_model.reasons import Reason
 from zinnia_model.shardmaps import ShardMap
-from zinnia_peers.links import Connect, PeerLinks, PeerLostError, PeerTimeoutError, connect_tcp
+from zinnia_peers.links import Connect, PeerLinks, connect_tcp
 from zinnia_peers.server import PeerServer
 from zinnia_platform.limiter import CallLimiter
 from zinnia_platform.store import ObjectStore
@@ -36,11 +36,12 @@
 from zinniarouterd.admin import AdminInterface, AdminSources
 from zinniarouterd.callers import CallerInterface
 from zinniarouterd.counters import ExecutorCounters
+from zinniarouterd.departure import Departure
 from zinniarouterd.driver import MoveDriver
 from zinniarouterd.exchange import FactExchange
 from zinniarouterd.gate import Gate
 from zinniarouterd.handler import NodeHandler, make_config_push
-from zinniarouterd.handovers import HANDOVER_LIMIT_S, Handovers, make_handed
+from zinniarouterd.handovers import Handovers
 from zinniarouterd.heartbeats import Heartbeats
 from zinniarouterd.history import TraceHistory
 from zinniarouterd.holders import HolderQueries
@@ -55,7 +56,7 @@
 from zinniarouterd.writer import ConfigWriter
 
 EXPIRY_INTERVAL_S = 5.0
-LEAVE_PAUSE_S = 0.05
+FLUSH_LIMIT_S = 1.0
 DATA_CENTRE_POLL_S = 0.2
 # Accepted sub-requests of a data centre that is taken out may run for this long.
 WITHDRAWAL_LIMIT_S = 2.0
@@ -113,14 +114,21 @@
             incarnation=self.incarnation,
         )
         self.exchange = FactExchange(self.vm, self.facts, self.links, self._take_facts)
+        self._build_knowledge()
+        self._build_backends()
+        self._build_requests()
+        self._build_operations()
+        self._build_peers(nursery)
+
+    def _build_knowledge(self) -> None:
         self.maps = ShardMaps(self._take_map)
         self.watch = PlatformWatch(
-            seams.store,
+            self.seams.store,
             lambda: self.membership,
             self.maps,
             self.adopt_config,
             self.exchange.publish,
-            settings.platform.poll_s,
+            self.settings.platform.poll_s,
             self.random,
         )
         self.topology = LiveTopology(
@@ -129,12 +137,11 @@
             self.facts,
             self.membership.owner,
             self.watch.is_leaving,
-            seams.wall_ms,
+            self.seams.wall_ms,
         )
-        self._build_backends()
-        self._build_requests()
-        self._build_operations()
-        peers = {VmId(vm): address for vm, address in settings.peers.items()}
+
+    def _build_peers(self, nursery: trio.Nursery) -> None:
+        peers = {VmId(vm): address for vm, address in self.settings.peers.items()}
         self.observers = Observers()
         self.heartbeats = Heartbeats(
             self.membership, self.links, self.exchange, peers, self.adopt_config, self.observers
@@ -150,7 +157,10 @@
             self.observers,
             Handovers(self.membership, self.dispatcher, self.links, nursery),
         )
-        self.server = PeerServer(settings.listen.peers, handler, self.links.counters)
+        self.server = PeerServer(self.settings.listen.peers, handler, self.links.counters)
+        self.departure = Departure(
+            self.membership, self.dispatcher, self.links, self.heartbeats, self.observers
+        )
 
     def _build_backends(self) -> None:
         self.crashes = CrashRegistry(self.facts, self.exchange.publish, self.vm)
@@ -356,8 +366,8 @@
                 nursery.start_soon(self.keeper.run)
                 await self._wait_data_centre(out=True)
                 logger.info("ownership_withdrawn")
-                await self.hand_over(trio.current_time() + WITHDRAWAL_LIMIT_S)
-                await self.give_up_seat()
+                await self.departure.hand_over(trio.current_time() + WITHDRAWAL_LIMIT_S)
+                await self.departure.give_up_seat(self.keeper)
                 nursery.cancel_scope.cancel()
             await self._wait_data_centre(out=False)
             self.incarnation = secrets.token_hex(6)
@@ -400,49 +410,13 @@
         self.gate.close()
         with trio.move_on_at(deadline):
             await self.gate.wait_idle()
-        await self.hand_over(deadline)
-        left = await self.claims.flush(trio.current_time() + HANDOVER_LIMIT_S)
+        await self.departure.hand_over(deadline)
+        left = await self.claims.flush(trio.current_time() + FLUSH_LIMIT_S)
         if left:
             logger.bind(records=left).warning("claims_not_recorded")
-        await self.give_up_seat()
+        await self.departure.give_up_seat(self.keeper)
         logger.bind(in_flight=self.gate.in_flight).info("shutdown_complete")
 
-    async def give_up_seat(self) -> None:
-        """Leave the member list, or hand the seat over while the platform is down."""
-        transfer = await self.keeper.leave(self.find_successor)
-        if transfer is None:
-            return
-        for peer in self.links.list_peers():
-            self.links.get(peer).notify(transfer)
-        self.heartbeats.hurry()
-        await trio.sleep(LEAVE_PAUSE_S)
-
-    async def hand_over(self, deadline: float) -> None:
-        """Finish accepted sub-requests, then give the replicas to their next owners."""
-        await self.dispatcher.drain(deadline)
-        states = {ReplicaId(state.replica): state for state in self.dispatcher.export_states()}
-        successors = self.membership.ownership.list_successors(states)
-        by_vm: dict[VmId, list[HandedReplica]] = {}
-        for replica, successor in successors.items():
-            by_vm.setdefault(successor, []).append(make_handed(states[replica]))
-        self.membership.begin_leave()
-        async with trio.open_nursery() as nursery:
-            for successor, replicas in by_vm.items():
-                message = Handover(self.vm, self.incarnation, tuple(replicas))
-                nursery.start_soon(self._send_handover, successor, message)
-        self.heartbeats.hurry()
-        await trio.sleep(LEAVE_PAUSE_S)
-
-    async def _send_handover(self, successor: VmId, message: Handover) -> None:
-        try:
-            await self.links.get(successor).call(message, HANDOVER_LIMIT_S)
-        except (PeerLostError, PeerTimeoutError) as error:
-            logger.bind(vm_to=successor, error=str(error)).warning("handover_failed")
-
-    def find_successor(self) -> Member | None:
-        """Return a VM without a seat that could take this one's, or None."""
-        return self.observers.find_longest_heard(trio.current_time())
-
 
 def make_choice(switches: Switches) -> ReplicaChoice | None:
     """Return the replica choice of a baseline, for measurements."""
