--- a/libs/backends/src/zinnia_backends/temperature.py
+++ b/libs/backends/src/zinnia_backends/temperature.py
@@ -11,6 +11,11 @@
 SLOW_ANSWERS = 3  # in a row
 SLOW_MIN_SAMPLES = 16  # a median over fewer answers is too uncertain to judge by
 REMEMBERED_STARTS = 8
+# An answer above this many times the median from before the cold start shows that it goes on, also
+# when the replica's own word says otherwise.
+STILL_COLD_FACTOR = 1.5
+# After this many good answers a longer service time is taken as the replica's new normal.
+MAX_COLD_ANSWERS = 40
 
 
 class ColdEvidence(Enum):
@@ -43,6 +48,8 @@
         self._successes = 0
         self._slow_in_a_row = 0
         self._cold_since = float("-inf")
+        self._cold_answers = 0
+        self._warm_median_s = 0.0
         self._past_starts: deque[StartId] = deque(maxlen=REMEMBERED_STARTS)
         self.times = ServiceTimes()
         self.start_id = StartId("")
@@ -66,6 +73,9 @@
 
     def note_cold(self, evidence: ColdEvidence, now: float) -> None:
         """Mark as cold and start the ramp again; any evidence counts the same."""
+        if not self.cold and len(self.times) >= SLOW_MIN_SAMPLES:
+            self._warm_median_s = self.times.median_s
+        self._cold_answers = 0
         self.cold = True
         self.limit = self._cold_limit
         self._cold_since = now
@@ -97,6 +107,9 @@
             return
         if not self.cold or sent_at < self._cold_since:
             return
+        if self._is_still_cold(service_time_s):
+            self._successes = 0
+            return
         self._successes += 1
         if self._successes < RAMP_SUCCESSES:
             return
@@ -108,6 +121,13 @@
         """Interrupt the row of good answers."""
         self._successes = 0
 
+    def _is_still_cold(self, service_time_s: float) -> bool:
+        """Compare an answer with the time from before the cold start, if it is known."""
+        self._cold_answers += 1
+        if self._warm_median_s == 0.0 or self._cold_answers > MAX_COLD_ANSWERS:
+            return False
+        return service_time_s > STILL_COLD_FACTOR * self._warm_median_s
+
     def _is_slow(self, service_time_s: float) -> bool:
         median_s = self.times.median_s
         judged = len(self.times) >= SLOW_MIN_SAMPLES
--- a/libs/backends/tests/test_temperature.py
+++ b/libs/backends/tests/test_temperature.py
@@ -49,6 +49,30 @@
         self.assertFalse(temperature.note_start("a", 4.0))
         self.assertEqual("b", temperature.start_id)
 
+    def test_replica_that_hides_its_cold_start_is_known_by_its_times(self):
+        """Guards against full load on a replica whose answers say warm while it is cold."""
+        temperature = Temperature(slots=2, cold_concurrency=1)
+        for number in range(32):
+            temperature.note_good(float(number), 0.010, float(number))
+        self.assertFalse(temperature.cold)
+        temperature.note_cold(ColdEvidence.CONNECTIONS_RESET, 100.0)
+        for number in range(20):
+            temperature.note_good(101.0 + number, 0.020, 101.0 + number)
+        self.assertEqual(1, temperature.limit)
+        for number in range(5):
+            temperature.note_good(130.0 + number, 0.011, 130.0 + number)
+        self.assertFalse(temperature.cold)
+
+    def test_replica_that_stays_slower_is_used_in_full_again(self):
+        """Guards against a replica on a slower VM that never leaves its cold start."""
+        temperature = Temperature(slots=2, cold_concurrency=1)
+        for number in range(32):
+            temperature.note_good(float(number), 0.010, float(number))
+        temperature.note_cold(ColdEvidence.NEW_START, 100.0)
+        for number in range(50):
+            temperature.note_good(101.0 + number, 0.020, 101.0 + number)
+        self.assertFalse(temperature.cold)
+
     @given(
         st.integers(1, 6),
         st.integers(1, 6),
