--- a/tools/check.py
+++ b/tools/check.py
@@ -70,7 +70,7 @@
     suites = sorted(path for path in ROOT.glob("*/*/tests") if any(path.glob("test_*.py")))
     with ThreadPoolExecutor(PARALLEL_SUITES) as pool:
         results.extend(pool.map(run_suite, suites))
-    if any((ROOT / "scenarios").glob("*.feature")):
+    if any((ROOT / "scenarios").rglob("*.feature")):
         results.append(run_scenarios())
     return results
 
