--- a/libs/membership/src/zinnia_membership/membership.py
+++ b/libs/membership/src/zinnia_membership/membership.py
@@ -30,9 +30,17 @@
     """
 
     def __init__(
-        self, vm: VmId, incarnation: str, now: float, takeover_wait_s: float = TAKEOVER_WAIT_S
+        self,
+        vm: VmId,
+        incarnation: str,
+        now: float,
+        takeover_wait_s: float = TAKEOVER_WAIT_S,
+        peer_address: str = "",
+        data_centre: str = "",
     ) -> None:
         self.vm = vm
+        self._peer_address = peer_address
+        self._data_centre = data_centre
         self.incarnation = incarnation
         self.promises = Promises(vm, incarnation, now)
         self._takeover_wait_s = takeover_wait_s
@@ -77,6 +85,9 @@
             self.configuration.revision,
             self.promises.released,
             tuple(facts),
+            not self.promises.own_standby.is_ended,
+            "" if self.is_member else self._peer_address,
+            "" if self.is_member else self._data_centre,
         )
 
     def receive_heartbeat(
@@ -85,6 +96,7 @@
         """Take a heartbeat and return the reply with this member's promises."""
         self.configuration.heard(message.vm, message.config_revision, now)
         grant = self.promises.given.answer(message, now)
+        standby = self.promises.answer_standby(message, now)
         return HeartbeatReply(
             self.vm,
             self.view.epoch,
@@ -96,6 +108,7 @@
             grant.dead,
             self.configuration.revision,
             tuple(facts),
+            standby,
         )
 
     def receive_reply(self, message: HeartbeatReply, now: float) -> Finding:
