--- a/programs/daemon/src/zinniarouterd/node.py
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -1,14 +1,11 @@
 """Assembles one daemon from its libraries; the seams to the outside are parameters."""
 
 import secrets
-from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 
 import trio
 from loguru import logger
 
-from zinnia_backends.connections import Connector
 from zinnia_backends.crashes import CrashRegistry
 from zinnia_backends.dispatcher import ReplicaDispatcher
 from zinnia_claims.claims import Claims
@@ -23,18 +20,15 @@
 from zinnia_model.ownership import Standing
 from zinnia_model.reasons import Reason
 from zinnia_model.shardmaps import ShardMap
-from zinnia_peers.links import Connect, PeerLinks, connect_tcp
+from zinnia_peers.links import PeerLinks
 from zinnia_peers.server import PeerServer
-from zinnia_platform.limiter import CallLimiter
-from zinnia_platform.store import ObjectStore
 from zinnia_releases.evidence import FaultEvidence
 from zinnia_releases.report import report_moves
 from zinnia_releases.vetoes import VetoRaiser
-from zinnia_routing.baselines import RandomChoice, RoundRobinChoice
-from zinnia_routing.choice import ReplicaChoice
 from zinnia_routing.context import Switches as RoutingSwitches
 from zinnia_routing.execution import QueryExecutor
 from zinniarouterd.admin import AdminInterface, AdminSources
+from zinniarouterd.baseline import make_choice
 from zinniarouterd.callers import CallerInterface
 from zinniarouterd.counters import ExecutorCounters
 from zinniarouterd.departure import Departure
@@ -49,10 +43,11 @@
 from zinniarouterd.maps import ShardMaps, list_all_records
 from zinniarouterd.metrics import Metrics
 from zinniarouterd.observers import Observers
+from zinniarouterd.seams import Seams
 from zinniarouterd.senders import CountingSender, SenderDirectory
-from zinniarouterd.settings import Settings, Switches
+from zinniarouterd.settings import Settings
 from zinniarouterd.status import StatusReport
-from zinniarouterd.topology import LiveTopology, make_refusal_check, read_wall_ms
+from zinniarouterd.topology import LiveTopology, make_refusal_check
 from zinniarouterd.watching import PlatformWatch
 from zinniarouterd.writer import ConfigWriter
 
@@ -63,21 +58,6 @@
 WITHDRAWAL_LIMIT_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class Seams:
-    """What a daemon meets outside of its process; tests give fakes.
-
-    ``listen`` is false where a test connects peers to `PeerServer.serve_stream` itself.
-    """
-
-    store: ObjectStore
-    limiter: CallLimiter
-    connector: Connector
-    connect: Connect = connect_tcp
-    wall_ms: Callable[[], int] = read_wall_ms
-    listen: bool = True
-
-
 class Node:
     """One daemon without its HTTP servers.
 
@@ -431,12 +411,3 @@
             logger.bind(records=left).warning("claims_not_recorded")
         await self.departure.give_up_seat(self.keeper)
         logger.bind(in_flight=self.gate.in_flight).info("shutdown_complete")
-
-
-def make_choice(switches: Switches) -> ReplicaChoice | None:
-    """Return the replica choice of a baseline, for measurements."""
-    if switches.baseline == "random":
-        return RandomChoice()
-    if switches.baseline == "round_robin":
-        return RoundRobinChoice(switches.baseline_timeout_ms / 1000)
-    return None
--- a/programs/daemon/src/zinniarouterd/service.py
+++ b/programs/daemon/src/zinniarouterd/service.py
@@ -12,7 +12,8 @@
 from zinnia_peers.counters import Direction
 from zinnia_platform.http import HttpObjectStore
 from zinnia_platform.limiter import CallLimiter
-from zinniarouterd.node import Node, Seams
+from zinniarouterd.node import Node
+from zinniarouterd.seams import Seams
 from zinniarouterd.settings import Settings
 from zinniarouterd.web import make_application
 
--- a/programs/daemon/tests/test_replacement.py
+++ b/programs/daemon/tests/test_replacement.py
@@ -13,7 +13,8 @@
 from zinnia_platform.limiter import CallLimiter
 from zinnia_standins.platform_core import PlatformCore, Write
 from zinnia_standins.platform_store import FakeObjectStore
-from zinniarouterd.node import Node, Seams
+from zinniarouterd.node import Node
+from zinniarouterd.seams import Seams
 from zinniarouterd.settings import Settings
 
 REPLICAS = [f"replica-{number}" for number in range(20)]
--- a/scenarios/support/tier.py
+++ b/scenarios/support/tier.py
@@ -18,7 +18,8 @@
 from zinnia_standins.deployment import ReplicaSpec
 from zinnia_standins.platform_core import PlatformCore, Write
 from zinnia_standins.platform_store import FakeObjectStore
-from zinniarouterd.node import Node, Seams
+from zinniarouterd.node import Node
+from zinniarouterd.seams import Seams
 from zinniarouterd.settings import Settings
 from zinniarouterd.web import WebRequest
 
