--- a/programs/measure/src/zinnia_measure/demo.py
+++ b/programs/measure/src/zinnia_measure/demo.py
@@ -191,9 +191,12 @@
         return tier.query(service, {"load": number}, vm=number % DAEMONS)
 
     with ThreadPoolExecutor(CALLERS) as pool:
-        for status, answer in pool.map(send, range(LOAD_QUERIES)):
+        for number, (status, answer) in enumerate(pool.map(send, range(LOAD_QUERIES))):
             if status != 200 or answer["coverage"]["missing"]:
-                raise DemoFailedError(f"a query was not whole during the move: {describe(answer)}")
+                trace = tier.admin(number % DAEMONS, "GET", f"requests/{answer['request_id']}")[1]
+                raise DemoFailedError(
+                    f"a query was not whole during the move: {describe(answer)}; {trace}"
+                )
 
 
 def show_data_centre(tier: Tier, service: str, data_centre: str) -> None:
