The demo waits until every VM acts as owner

Cause: the logs of the demo run that failed show the handover of 133 replicas to the VMs that had just joined 0.6 s after the load began; a shard both of whose replicas moved lacked a sender for longer than the deadline of 1 s. Change: the status says whether a VM acts as owner, and runs wait for it. Ruled out: withdrawn versions (the query used the old one) and cold replicas (no restarts logged).

--- a/programs/daemon/src/zinniarouterd/status.py
+++ b/programs/daemon/src/zinniarouterd/status.py
@@ -46,6 +46,7 @@
             "revision": membership.configuration.revision,
             "epoch": membership.members().epoch,
             "members": self._list_members(membership),
+            "acting": membership.promises.own_standby.is_over(trio.current_time()),
             "platform": "up" if platform_up else "down",
             "requests_in_flight": self._gate.in_flight,
             "replicas": self._list_replicas(),
--- a/programs/measure/src/zinnia_measure/tier.py
+++ b/programs/measure/src/zinnia_measure/tier.py
@@ -87,10 +87,13 @@
         wait_until(lambda: self.is_ready(daemon), f"readiness of {daemon.vm}")
 
     def sees_all_members(self, vm: int) -> bool:
-        """Return whether a daemon hears every other one as a member."""
-        rows = self.admin(vm, "GET", "status")[1]["members"]
-        alive = [row for row in rows if row["state"] == "alive"]
-        return len(alive) == len(self.plan.daemons)
+        """Return whether a daemon hears every other one as a member and acts as owner itself.
+
+        While the first members join, replicas still move between them.
+        """
+        status = self.admin(vm, "GET", "status")[1]
+        alive = [row for row in status["members"] if row["state"] == "alive"]
+        return len(alive) == len(self.plan.daemons) and status["acting"]
 
     def apply_config(self) -> bool:
         """Apply the first configuration; return whether one is in force."""
