--- a/programs/tool/src/zinnia_tool/configuration.py
+++ b/programs/tool/src/zinnia_tool/configuration.py
@@ -137,7 +137,7 @@
                 self._apply_note(client, data_centre, operator)
                 return
             reply = client.switch_data_centre(data_centre, self.state.value, operator)
-        line = f"data centre {data_centre}: {self.state.value}, revision {reply.revision}"
+        line = f"data centre {data_centre}: {self.state.value} in revision {reply.revision}"
         self.show(reply, [line])
 
     def _apply_note(self, client: AdminClient, data_centre: str, operator: str) -> None:
