Remove code that nothing calls

Deadline, ReplicaView.extra, ShardMaps.version and two functions of the demo were written before their callers and never got any. No behaviour changes.

--- a/libs/model/src/zinnia_model/subrequests.py
+++ b/libs/model/src/zinnia_model/subrequests.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from zinnia_model.ids import (
     AttemptId,
@@ -71,17 +71,6 @@
     cold: bool = False
 
 
-@dataclass(slots=True)
-class Deadline:
-    """An absolute point on the runtime's clock, in seconds."""
-
-    at: float
-
-    def remaining(self, now: float) -> float:
-        """Return the seconds left, never below zero."""
-        return max(0.0, self.at - now)
-
-
 class BatchSender(ABC):
     """Takes batches and delivers exactly one result for each attempt.
 
@@ -109,4 +98,3 @@
     limit: int = 1
     start_id: StartId = StartId("")
     version: VersionId = VersionId("")
-    extra: dict[str, str] = field(default_factory=dict)
--- a/programs/daemon/src/zinniarouterd/maps.py
+++ b/programs/daemon/src/zinniarouterd/maps.py
@@ -31,11 +31,6 @@
         self._versions: dict[ServiceId, int] = {}
         self._services: dict[ReplicaId, ServiceId] = {}
 
-    @property
-    def version(self) -> int:
-        """Highest platform version among the maps."""
-        return max(self._versions.values(), default=0)
-
     def get(self, service: ServiceId) -> ShardMap | None:
         """Return the map of a service."""
         return self._maps.get(service)
--- a/programs/measure/src/zinnia_measure/demo.py
+++ b/programs/measure/src/zinnia_measure/demo.py
@@ -6,10 +6,9 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
 from datetime import UTC, datetime, timedelta
-from pathlib import Path
 
 from zinnia_measure.deployment import NEW_VERSION, OLD_VERSION, RunPlan, plan_run
-from zinnia_measure.processes import fetch, wait_until
+from zinnia_measure.processes import wait_until
 from zinnia_measure.sizes import BELLSOUND, KAVALAM, DeploymentSize
 from zinnia_measure.tier import Tier, make_directory
 
@@ -231,13 +230,3 @@
     """Return the runs of all replicas in a data centre."""
     inside = {r["id"] for r in tier.plan.replicas if r["data_centre"] == data_centre}
     return sum(row["runs"] for name, row in tier.count_backends().items() if name in inside)
-
-
-def read_metrics(tier: Tier, vm: int) -> str:
-    """Return the metrics of one daemon."""
-    return fetch("GET", f"http://{tier.plan.daemons[vm].callers}/metrics").content.decode()
-
-
-def list_logs(directory: Path) -> list[Path]:
-    """Return the log files of a run."""
-    return sorted(directory.glob("logs/*.log"))
