--- /dev/null
+++ b/libs/catalog/src/zinnia_catalog/ids.py
@@ -0,0 +1,11 @@
+"""Identifiers of what the catalog holds."""
+
+from typing import NewType
+
+ServiceName = NewType("ServiceName", str)
+RouteName = NewType("RouteName", str)
+ReplicaId = NewType("ReplicaId", str)
+DataCentreId = NewType("DataCentreId", str)
+VersionId = NewType("VersionId", str)
+VmName = NewType("VmName", str)
+RequestId = NewType("RequestId", str)
--- /dev/null
+++ b/libs/entry/src/zinnia_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that callers reach: HTTP server, request handling, feeds, drain, logs and metrics."""
--- /dev/null
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -0,0 +1,223 @@
+"""Handles one caller's request: route, run, reply."""
+
+from dataclasses import dataclass
+
+import trio
+
+from zinnia_catalog.catalog import Catalog
+from zinnia_catalog.ids import RouteName, ServiceName
+from zinnia_catalog.routes import Route
+from zinnia_entry.logs import RequestLog
+from zinnia_entry.messages import CallerFacts, CallerProtocol, CallerReply, CallerRequest
+from zinnia_entry.metrics import Metrics
+from zinnia_entry.reasons import RefusalReason, RequestOutcome
+from zinnia_entry.server import RequestHandler
+from zinnia_sending.attempts import AttemptSender, RunRequest
+from zinnia_sending.budgets import RetryBudget
+from zinnia_sending.fleet import Fleet
+from zinnia_sending.latency import LatencyHistogram
+from zinnia_sending.merge import merge_records
+from zinnia_sending.runs import RequestRun, RunOutcome, RunVerdict
+from zinnia_sending.weights import WeightedChoice
+
+# A configuration that is not known yet usually arrives within this time, in seconds.
+CONFIGURATION_RETRY_S = 0.5
+# Without a replica to try, and with no trial due, another attempt is worth it after this time.
+NO_REPLICA_RETRY_S = 0.6
+# Replicas that shed load have finished a request or two after this time.
+REJECTED_RETRY_S = 0.15
+# Time from a caller's send to its arrival here and back, part of the target latency.
+CALLER_ROUND_TRIP_S = 0.002
+# Part of the target latency that a replica usually takes, until latencies were measured.
+USUAL_PART = 0.2
+# Difference of a deadline from the longest one of its route that tells a caller's later attempt.
+REPEAT_GAP_S = 0.02
+
+
+@dataclass(slots=True)
+class RouteState:
+    """What a VM learns of one route: latencies, weights, and the deadline that callers start with."""
+
+    latency: LatencyHistogram
+    weights: WeightedChoice
+    full_deadline_s: float = 0.0
+
+
+class TierHandler(RequestHandler):
+    """Answers requests of callers with answers of replicas."""
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        fleet: Fleet,
+        budget: RetryBudget,
+        sender: AttemptSender,
+        protocol: CallerProtocol,
+        metrics: Metrics,
+        log: RequestLog,
+    ) -> None:
+        self._catalog = catalog
+        self._fleet = fleet
+        self._budget = budget
+        self._sender = sender
+        self._protocol = protocol
+        self._metrics = metrics
+        self._log = log
+        self._routes: dict[RouteName, RouteState] = {}
+
+    async def handle(self, request: CallerRequest) -> CallerReply:
+        """Return the reply to a request."""
+        facts = self._protocol.read_facts(request.headers)
+        configuration = self._catalog.configuration
+        if configuration is None:
+            return self._refuse(request, facts, None, RefusalReason.NO_CONFIGURATION)
+        host = request.find_header(b"host").decode("latin-1")
+        route = configuration.find_route(host, request.path)
+        if route is None:
+            return self._refuse(request, facts, None, RefusalReason.NO_ROUTE)
+        if facts.deadline_s is not None and facts.deadline_s <= 0:
+            return self._refuse(request, facts, route, RefusalReason.BAD_DEADLINE)
+        run = self._make_run(request, facts, route)
+        try:
+            outcome = await run.run()
+        except trio.Cancelled:
+            self._finish(request, facts, route, RequestOutcome.CALLER_LEFT, None, run.trace)
+            raise
+        return self._reply(request, facts, route, outcome)
+
+    def _make_run(self, request: CallerRequest, facts: CallerFacts, route: Route) -> RequestRun:
+        state = self._get_state(route)
+        limit_s = route.timeout_s
+        elapsed_s = CALLER_ROUND_TRIP_S
+        if facts.deadline_s is not None:
+            limit_s = min(limit_s, facts.deadline_s)
+            elapsed_s += self._find_elapsed(state, facts.deadline_s)
+        target_s = route.target_latency_s - elapsed_s
+        if target_s <= 0:
+            target_s = route.target_latency_s
+        run_request = RunRequest(
+            id=facts.request_id.decode("latin-1"),
+            route=route,
+            services=route.shards or (self._choose_service(route, state),),
+            is_fanout=bool(route.shards),
+            prepared=self._protocol.prepare(request),
+            received_at=request.received_at,
+            target_at=request.received_at + target_s,
+            end_at=request.received_at + limit_s,
+            latency=state.latency,
+        )
+        return RequestRun(run_request, self._fleet, self._budget, self._sender)
+
+    def _choose_service(self, route: Route, state: RouteState) -> ServiceName:
+        return route.targets[0].service if len(route.targets) == 1 else state.weights.choose(
+            route.targets
+        )
+
+    def _find_elapsed(self, state: RouteState, deadline_s: float) -> float:
+        """Return how long ago the caller started, from the deadline that its first attempt has."""
+        state.full_deadline_s = max(state.full_deadline_s, deadline_s)
+        elapsed_s = state.full_deadline_s - deadline_s
+        return elapsed_s if elapsed_s > REPEAT_GAP_S else 0.0
+
+    def _get_state(self, route: Route) -> RouteState:
+        state = self._routes.get(route.name)
+        if state is None:
+            guess_s = route.target_latency_s * USUAL_PART
+            state = self._routes[route.name] = RouteState(
+                LatencyHistogram(guess_s), WeightedChoice()
+            )
+        return state
+
+    def _reply(
+        self, request: CallerRequest, facts: CallerFacts, route: Route, outcome: RunOutcome
+    ) -> CallerReply:
+        if outcome.verdict in (RunVerdict.COMPLETE, RunVerdict.PARTIAL):
+            return self._deliver(request, facts, route, outcome)
+        if outcome.failure is not None:
+            result = RequestOutcome.REPLICA_FAILURE
+            self._finish(request, facts, route, result, None, outcome.trace)
+            return self._protocol.make_answer(outcome.failure)
+        reason = find_reason(outcome, bool(route.shards))
+        return self._refuse(request, facts, route, reason, outcome)
+
+    def _deliver(
+        self, request: CallerRequest, facts: CallerFacts, route: Route, outcome: RunOutcome
+    ) -> CallerReply:
+        is_complete = outcome.verdict is RunVerdict.COMPLETE
+        result = RequestOutcome.COMPLETE if is_complete else RequestOutcome.PARTIAL
+        if not route.shards:
+            answer = outcome.answers[0]
+            if not answer.is_success:
+                result = RequestOutcome.REPLICA_FAILURE
+            self._finish(request, facts, route, result, None, outcome.trace)
+            return self._protocol.make_answer(answer)
+        self._metrics.missing_shards.inc(outcome.missing)
+        body = merge_records((answer.body for answer in outcome.answers), route.top_k)
+        signatures = [answer.signature for answer in outcome.answers]
+        reply = self._protocol.make_merged(signatures, outcome.missing, body)
+        self._finish(request, facts, route, result, None, outcome.trace, outcome.missing)
+        return reply
+
+    def _refuse(
+        self,
+        request: CallerRequest,
+        facts: CallerFacts,
+        route: Route | None,
+        reason: RefusalReason,
+        outcome: RunOutcome | None = None,
+    ) -> CallerReply:
+        status, retry_after_s = choose_refusal(reason, outcome)
+        trace = outcome.trace if outcome else ()
+        missing = outcome.missing if outcome else 0
+        self._finish(request, facts, route, RequestOutcome.REFUSED, reason, trace, missing)
+        return self._protocol.make_refusal(status, reason.value, retry_after_s)
+
+    def _finish(
+        self,
+        request: CallerRequest,
+        facts: CallerFacts,
+        route: Route | None,
+        outcome: RequestOutcome,
+        reason: RefusalReason | None,
+        trace: tuple,
+        missing: int = 0,
+    ) -> None:
+        duration_s = trio.current_time() - request.received_at
+        self._metrics.count_request(route.name if route else "none", outcome, duration_s)
+        if reason is not None:
+            self._metrics.count_refusal(reason)
+        is_late = route is not None and duration_s > route.target_latency_s
+        self._log.write_request(
+            facts, route, outcome, reason, duration_s, is_late, missing, trace, self._catalog
+        )
+
+
+def find_reason(outcome: RunOutcome, is_fanout: bool) -> RefusalReason:
+    """Return why a run could not be answered."""
+    if outcome.verdict is RunVerdict.NO_REPLICA:
+        return RefusalReason.NO_REPLICA
+    if outcome.verdict is RunVerdict.REJECTED:
+        return RefusalReason.REJECTED_BY_REPLICAS
+    if outcome.verdict is RunVerdict.EXPIRED:
+        return RefusalReason.EXPIRED if outcome.may_have_run else RefusalReason.EXPIRED_UNSENT
+    return RefusalReason.SHARDS_MISSING if is_fanout else RefusalReason.REPLICA_FAILED
+
+
+def choose_refusal(reason: RefusalReason, outcome: RunOutcome | None) -> tuple[int, float]:
+    """Return status and Retry-After in seconds; 503 is only used where the request has not run."""
+    if reason is RefusalReason.NO_ROUTE:
+        return 404, 0.0
+    if reason is RefusalReason.BAD_DEADLINE:
+        return 504, 0.0
+    if reason is RefusalReason.NO_CONFIGURATION:
+        return 503, CONFIGURATION_RETRY_S
+    if reason is RefusalReason.NO_REPLICA:
+        known_s = outcome.retry_after_s if outcome else 0.0
+        return 503, known_s or NO_REPLICA_RETRY_S
+    if reason is RefusalReason.REJECTED_BY_REPLICAS:
+        return 503, REJECTED_RETRY_S
+    if reason is RefusalReason.EXPIRED_UNSENT:
+        return 503, REJECTED_RETRY_S
+    if reason is RefusalReason.EXPIRED:
+        return 504, 0.0
+    return 502, 0.0
--- /dev/null
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -0,0 +1,195 @@
+"""One entry VM: servers, feeds and sending, from start to graceful stop."""
+
+import signal
+from dataclasses import dataclass
+from random import Random
+
+import trio
+
+from zinnia_catalog.catalog import Catalog, ObjectDecoder
+from zinnia_catalog.collections import Collection
+from zinnia_catalog.objects import ObjectKind, ObjectStore, StoreError
+from zinnia_catalog.routes import CallerLimits
+from zinnia_entry.feeds import StoreFeed
+from zinnia_entry.handler import TierHandler
+from zinnia_entry.logs import EventLog, RequestLog
+from zinnia_entry.messages import CallerProtocol
+from zinnia_entry.metrics import Metrics
+from zinnia_entry.probes import MetricsHandler, ReadinessHandler
+from zinnia_entry.server import CallerServer
+from zinnia_entry.settings import EntrySettings
+from zinnia_sending.budgets import RetryBudget
+from zinnia_sending.dispatcher import Dispatcher
+from zinnia_sending.fleet import Fleet
+from zinnia_sending.protocol import ReplicaProtocol
+
+UPKEEP_INTERVAL_S = 0.5
+# After a stop signal, requests are still taken while the balancer notices the lost readiness.
+STOP_ACCEPT_S = 3.0
+# Time before the end of the grace period at which the process ends in any case.
+STOP_MARGIN_S = 0.5
+STOP_POLL_S = 0.05
+MEMBERS_INTERVAL_S = 10.0
+FOLLOWED_KINDS = (
+    ObjectKind.CONFIGURATION,
+    ObjectKind.REPLICAS,
+    ObjectKind.DATA_CENTRES_OUT,
+    ObjectKind.RELEASES,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """What translates between the tier and the users' platform."""
+
+    store: ObjectStore
+    decoder: ObjectDecoder
+    replicas: ReplicaProtocol
+    callers: CallerProtocol
+
+
+class EntryNode:
+    """Everything that one VM runs.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Addresses and bounds.
+    adapter : Adapter
+        Translates between the tier and the platform.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, adapter: Adapter, metrics: Metrics, events: EventLog
+    ) -> None:
+        self.metrics = metrics
+        self.events = events
+        self._settings = settings
+        self._adapter = adapter
+        self._random = Random()
+        self._fleet = Fleet(settings.data_centre, self.count_vms, events, self._random)
+        self.catalog = Catalog(adapter.decoder, self._fleet, trio.current_time)
+        self._budget = RetryBudget(settings.retry_bounds, self.count_vms)
+        self._collections = {kind: Collection(kind) for kind in ObjectKind}
+        self._feeds = [self._make_feed(kind) for kind in FOLLOWED_KINDS]
+        self._is_stopping = False
+        self._servers: list[CallerServer] = []
+
+    def count_vms(self) -> int:
+        """Return how many VMs may be sending, at least as many as the settings expect."""
+        return max(self._settings.expected_vms, len(self.catalog.members))
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this VM takes new connections."""
+        if self._is_stopping or self.catalog.configuration is None:
+            return False
+        return self._collections[ObjectKind.REPLICAS].is_known
+
+    async def run(self) -> None:
+        """Serve until a stop signal, then drain."""
+        self.events.note("start", vm=self._settings.vm, callers=str(self._settings.callers))
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                self._start_all(nursery)
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    self.events.note("reload_requested")
+                await self._stop()
+                nursery.cancel_scope.cancel()
+        self.events.note("stop")
+
+    def _start_all(self, nursery: trio.Nursery) -> None:
+        settings = self._settings
+        dispatcher = Dispatcher(
+            nursery, self._fleet, self._adapter.replicas, self.metrics, self.events
+        )
+        handler = TierHandler(
+            self.catalog,
+            self._fleet,
+            self._budget,
+            dispatcher,
+            self._adapter.callers,
+            self.metrics,
+            RequestLog(self.events),
+        )
+        callers = CallerServer(handler, self._get_limits, self.events)
+        self._servers.append(callers)
+        readiness = CallerServer(
+            ReadinessHandler(lambda: self.is_ready), CallerLimits, self.events
+        )
+        nursery.start_soon(callers.serve, settings.callers.host, settings.callers.port, nursery)
+        nursery.start_soon(
+            readiness.serve, settings.readiness.host, settings.readiness.port, nursery
+        )
+        if settings.metrics is not None:
+            metrics = CallerServer(
+                MetricsHandler(self.metrics, self._refresh_ages), CallerLimits, self.events
+            )
+            nursery.start_soon(
+                metrics.serve, settings.metrics.host, settings.metrics.port, nursery
+            )
+        for feed in self._feeds:
+            nursery.start_soon(feed.run)
+        nursery.start_soon(self._keep_up)
+        nursery.start_soon(self._follow_members)
+        nursery.start_soon(self.events.run)
+
+    def _make_feed(self, kind: ObjectKind) -> StoreFeed:
+        return StoreFeed(
+            self._collections[kind],
+            self._adapter.store,
+            self.catalog.apply,
+            self.metrics,
+            self.events,
+            self._random,
+        )
+
+    def _get_limits(self) -> CallerLimits:
+        configuration = self.catalog.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    def _refresh_ages(self) -> None:
+        now = trio.current_time()
+        for feed in self._feeds:
+            if feed.confirmed_at is not None:
+                self.metrics.set_age(feed.collection.kind.value, now - feed.confirmed_at)
+
+    async def _keep_up(self) -> None:
+        while True:
+            await trio.sleep(UPKEEP_INTERVAL_S)
+            self._fleet.discard_expired(trio.current_time())
+            self.catalog.expire_lapsed()
+
+    async def _follow_members(self) -> None:
+        """Register this VM, and learn now and then how many there are."""
+        settings = self._settings
+        is_registered = False
+        while True:
+            try:
+                if not is_registered:
+                    spec = {"peer_address": str(settings.peers or settings.callers)}
+                    await self._adapter.store.create(ObjectKind.MEMBERS, settings.vm, spec)
+                    is_registered = True
+                listing = await self._adapter.store.list(ObjectKind.MEMBERS, allow_stale=True)
+                changes = self._collections[ObjectKind.MEMBERS].replace(listing)
+                self.catalog.apply(ObjectKind.MEMBERS, changes, False)
+            except StoreError as error:
+                self.events.note("members_unknown", cause=error.cause)
+            await trio.sleep(MEMBERS_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
+
+    async def _stop(self) -> None:
+        """Lose readiness, finish requests, and return when none is left."""
+        started = trio.current_time()
+        self._is_stopping = True
+        for server in self._servers:
+            server.is_draining = True
+        self.events.note("stopping", busy=sum(server.busy for server in self._servers))
+        with trio.move_on_after(self._settings.grace_period_s - STOP_MARGIN_S):
+            await trio.sleep(STOP_ACCEPT_S)
+            while any(server.busy for server in self._servers):
+                await trio.sleep(STOP_POLL_S)
+        for server in self._servers:
+            server.close_idle()
+        self.events.note("stopped_serving", after_s=round(trio.current_time() - started, 2))
--- /dev/null
+++ b/libs/entry/src/zinnia_entry/probes.py
@@ -0,0 +1,32 @@
+"""Answers readiness checks and metrics requests."""
+
+from collections.abc import Callable
+
+from zinnia_entry.messages import CallerReply, CallerRequest
+from zinnia_entry.metrics import Metrics
+from zinnia_entry.server import RequestHandler
+
+
+class ReadinessHandler(RequestHandler):
+    """Says whether this VM takes new connections."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def handle(self, request: CallerRequest) -> CallerReply:
+        """Return 200 or 503."""
+        return CallerReply(200) if self._is_ready() else CallerReply(503)
+
+
+class MetricsHandler(RequestHandler):
+    """Serves the metrics as text."""
+
+    def __init__(self, metrics: Metrics, refresh: Callable[[], None]) -> None:
+        self._metrics = metrics
+        self._refresh = refresh
+
+    async def handle(self, request: CallerRequest) -> CallerReply:
+        """Return all metrics."""
+        self._refresh()
+        headers = ((b"content-type", b"text/plain; version=0.0.4"),)
+        return CallerReply(200, headers, self._metrics.render())
--- /dev/null
+++ b/libs/entry/src/zinnia_entry/reasons.py
@@ -0,0 +1,27 @@
+"""Why a request was refused or failed."""
+
+from enum import Enum
+
+
+class RefusalReason(Enum):
+    """Reasons of replies that are the tier's own; each is a metric label and a log field."""
+
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    NO_REPLICA = "no_replica"
+    REJECTED_BY_REPLICAS = "rejected_by_replicas"
+    SHARDS_MISSING = "shards_missing"
+    REPLICA_FAILED = "replica_failed"
+    EXPIRED = "expired"
+    EXPIRED_UNSENT = "expired_unsent"
+    BAD_DEADLINE = "bad_deadline"
+
+
+class RequestOutcome(Enum):
+    """How a request ended, from its caller's view."""
+
+    COMPLETE = "complete"
+    PARTIAL = "partial"
+    REPLICA_FAILURE = "replica_failure"
+    REFUSED = "refused"
+    CALLER_LEFT = "caller_left"
--- /dev/null
+++ b/libs/entry/src/zinnia_entry/server.py
@@ -0,0 +1,267 @@
+"""HTTP/1.1 server on trio and h11, with the limits and the shutdown that callers rely on."""
+
+import socket
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import h11
+import trio
+
+from zinnia_catalog.routes import CallerLimits
+from zinnia_entry.messages import CallerReply, CallerRequest
+from zinnia_sending.events import EventSink
+
+RECEIVE_BYTES = 65536
+BACKLOG = 512
+# Callers reuse a connection up to the idle timeout that they know, which may be an older one.
+IDLE_SLACK = 1.2
+# Part of the header timeout within which the body has to go on.
+WRITE_TIMEOUT_S = 5.0
+# A port may still be held for a moment by the process that ran here before.
+BIND_ATTEMPTS = 20
+BIND_PAUSE_S = 0.25
+TCP_USER_TIMEOUT_MS = 10000
+
+
+class RequestHandler(ABC):
+    """Answers requests; cancelled when the caller leaves."""
+
+    @abstractmethod
+    async def handle(self, request: CallerRequest) -> CallerReply:
+        """Return the reply to a request."""
+
+
+class BadRequestError(Exception):
+    """The caller broke a limit or the protocol."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class CallerServer:
+    """Serves one listening address.
+
+    Parameters
+    ----------
+    handler : RequestHandler
+        Answers the requests.
+    get_limits : Callable[[], CallerLimits]
+        The limits in force.
+    events : EventSink
+        Told of requests that break a limit.
+    """
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        get_limits: Callable[[], CallerLimits],
+        events: EventSink,
+    ) -> None:
+        self._handler = handler
+        self._get_limits = get_limits
+        self._events = events
+        self._idle: set[trio.CancelScope] = set()
+        self.is_draining = False
+        self.busy = 0
+        self.connections = 0
+
+    async def serve(self, host: str, port: int, nursery: trio.Nursery) -> None:
+        """Listen and serve connections until cancelled."""
+        listener = await open_listener(host, port)
+        with listener:
+            while True:
+                try:
+                    connection, _ = await listener.accept()
+                except OSError as error:
+                    self._events.note("accept_failed", cause=str(error))
+                    await trio.sleep(BIND_PAUSE_S)
+                    continue
+                nursery.start_soon(self._serve_connection, connection)
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is being read or answered."""
+        for scope in list(self._idle):
+            scope.cancel()
+
+    async def _serve_connection(self, connection: trio.socket.SocketType) -> None:
+        self.connections += 1
+        try:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+            )
+            await _CallerConnection(self, connection).run()
+        except OSError:
+            pass  # The caller is gone; its request was cancelled and logged where it ran.
+        finally:
+            self.connections -= 1
+            connection.close()
+
+
+class _CallerConnection:
+    """One connection of a caller; requests are served one after the other."""
+
+    def __init__(self, server: CallerServer, connection: trio.socket.SocketType) -> None:
+        self._server = server
+        self._socket = connection
+        self._limits = server._get_limits()
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+
+    async def run(self) -> None:
+        """Serve requests until either side closes."""
+        while True:
+            try:
+                request = await self._receive_request()
+            except BadRequestError as error:
+                await self._refuse(error)
+                return
+            if request is None:
+                return
+            reply = await self._answer(request)
+            if reply is None:
+                return
+            await self._send(request.method, reply)
+            if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+                return
+            self._http.start_next_cycle()
+
+    async def _receive_request(self) -> CallerRequest | None:
+        if not await self._await_start():
+            return None
+        server = self._server
+        with trio.move_on_after(self._limits.header_timeout_s) as scope:
+            head = await self._next_event()
+            if not isinstance(head, h11.Request):
+                return None
+            received_at = trio.current_time()
+            body = await self._receive_body(head)
+        if scope.cancelled_caught:
+            raise BadRequestError(408, "the request did not arrive within the header timeout")
+        self._limits = server._get_limits()
+        headers = tuple((bytes(name), bytes(value)) for name, value in head.headers)
+        return CallerRequest(bytes(head.method), bytes(head.target), headers, body, received_at)
+
+    async def _await_start(self) -> bool:
+        """Wait for the first byte of a request; return False if none comes in time."""
+        if self._http.trailing_data[0]:
+            return True
+        idle_since = trio.current_time()
+        while True:
+            idle_until = idle_since + self._server._get_limits().idle_timeout_s * IDLE_SLACK
+            with trio.move_on_at(idle_until) as scope:
+                self._server._idle.add(scope)
+                try:
+                    data = await self._socket.recv(RECEIVE_BYTES)
+                finally:
+                    self._server._idle.discard(scope)
+                self._feed(data)
+                return bool(data)
+            latest = idle_since + self._server._get_limits().idle_timeout_s * IDLE_SLACK
+            if self._server.is_draining or trio.current_time() >= latest:
+                return False
+
+    async def _receive_body(self, head: h11.Request) -> bytes:
+        limit = self._limits.max_body_bytes
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > limit:
+                raise BadRequestError(413, f"the body has more than {limit} bytes")
+        if self._http.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            await self._write(self._http.send(go_ahead))
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(pieces)
+            if not isinstance(event, h11.Data):
+                raise BadRequestError(400, "the connection ended within the body")
+            size += len(event.data)
+            if size > limit:
+                raise BadRequestError(413, f"the body has more than {limit} bytes")
+            pieces.append(bytes(event.data))
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BadRequestError(error.error_status_hint, str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._feed(await self._socket.recv(RECEIVE_BYTES))
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise BadRequestError(error.error_status_hint, str(error)) from error
+
+    async def _answer(self, request: CallerRequest) -> CallerReply | None:
+        """Return the reply, or None if the caller left first."""
+        reply = None
+        self._server.busy += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+                reply = await self._server._handler.handle(request)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._server.busy -= 1
+        return reply
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Cancel the request when its caller closes the connection."""
+        await trio.lowlevel.wait_readable(self._socket)
+        try:
+            data = await self._socket.recv(1, socket.MSG_PEEK)
+        except OSError:
+            data = b""
+        if not data:
+            scope.cancel()
+
+    async def _refuse(self, error: BadRequestError) -> None:
+        self._server._events.note("bad_request", status=error.status, cause=str(error))
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        reply = CallerReply(error.status, ((b"connection", b"close"),), str(error).encode())
+        await self._send(b"", reply)
+
+    async def _send(self, method: bytes, reply: CallerReply) -> None:
+        headers = [*reply.headers, (b"content-length", str(len(reply.body)).encode())]
+        if self._server.is_draining:
+            headers.append((b"connection", b"close"))
+        pieces = [
+            self._http.send(h11.Response(status_code=reply.status, headers=headers)),
+            self._http.send(h11.Data(data=reply.body)) if method != b"HEAD" else b"",
+            self._http.send(h11.EndOfMessage()),
+        ]
+        await self._write(b"".join(pieces))
+
+    async def _write(self, data: bytes) -> None:
+        view = memoryview(data)
+        with trio.move_on_after(WRITE_TIMEOUT_S) as scope:
+            while view:
+                view = view[await self._socket.send(view) :]
+        if scope.cancelled_caught:
+            raise OSError("the caller does not read its reply")
+
+
+async def open_listener(host: str, port: int) -> trio.socket.SocketType:
+    """Bind and listen; a port that is still in use is tried again for some seconds."""
+    for attempt in range(BIND_ATTEMPTS):
+        listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            await listener.bind((host, port))
+            listener.listen(BACKLOG)
+            return listener
+        except OSError:
+            listener.close()
+            if attempt == BIND_ATTEMPTS - 1:
+                raise
+            await trio.sleep(BIND_PAUSE_S)
+    raise AssertionError("unreachable")
--- /dev/null
+++ b/libs/entry/src/zinnia_entry/settings.py
@@ -0,0 +1,45 @@
+"""Settings of the entry process, independent of the file that they come from."""
+
+from dataclasses import dataclass, field
+
+from zinnia_catalog.ids import DataCentreId, VmName
+from zinnia_sending.budgets import RetryBounds
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """A host and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """What one VM needs to serve.
+
+    ``seeds`` are peer addresses of some other VMs. Times are in seconds.
+    """
+
+    vm: VmName
+    data_centre: DataCentreId
+    callers: Address
+    readiness: Address
+    peers: Address | None
+    metrics: Address | None
+    store: Address
+    seeds: tuple[Address, ...]
+    retry_bounds: RetryBounds
+    drain_timeout_s: float
+    grace_period_s: float
+    rollback_s: float
+    readiness_path: str = "/"
+    expected_vms: int = 1
+    unknown_fields: tuple[str, ...] = field(default=())
+
+
+class SettingsError(Exception):
+    """A setting is missing or wrong; the message names the field, the value and the remedy."""
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/__init__.py
@@ -0,0 +1,1 @@
+"""Sends requests to replicas: connections, choice, hedges, budgets and merging."""
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/answers.py
@@ -0,0 +1,65 @@
+"""Answers of replicas and how an exchange with a replica ended."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class ExchangeResult(Enum):
+    """How one exchange with a replica ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"  # the replica ran the request and reported a failure
+    NOT_SENT = "not_sent"  # no byte of the request reached the replica
+    NOT_RUN = "not_run"  # the replica says that it did not run the request
+    WRONG_REPLICA = "wrong_replica"  # another replica has taken over the address
+    BROKEN = "broken"  # no whole answer; the request may have run
+    CANCELLED = "cancelled"  # given up by the sender; the request may have run
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may have run, or may still run, at the replica."""
+        return self not in (
+            ExchangeResult.NOT_SENT,
+            ExchangeResult.NOT_RUN,
+            ExchangeResult.WRONG_REPLICA,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaAnswer:
+    """A whole answer of a replica; ``headers`` holds the end-to-end headers as received."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    signature: bytes
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is 2xx."""
+        return 200 <= self.status < 300
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What the headers of an answer say.
+
+    ``warmup_s`` is how long the replica remains cold, None if it does not say.
+    """
+
+    request_id: bytes
+    signature: bytes
+    is_not_run: bool
+    is_wrong_replica: bool
+    has_encoding: bool
+    warmup_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """One settled exchange with a replica."""
+
+    result: ExchangeResult
+    duration_s: float
+    answer: ReplicaAnswer | None = None
+    cause: str = ""
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/connections.py
@@ -0,0 +1,236 @@
+"""Connections to one replica: opening, reuse, and one exchange at a time on each."""
+
+import socket
+from dataclasses import dataclass
+
+import trio
+
+from zinnia_sending.parser import AnswerParser
+
+RECEIVE_BYTES = 65536
+# A replica that does not accept a connection in this time is tried elsewhere.
+CONNECT_TIMEOUT_S = 0.3
+# Unacknowledged data on a connection ends it after this time, also behind a partition.
+TCP_USER_TIMEOUT_MS = 3000
+# Idle time after which a connection is not reused if the replica does not name its own.
+DEFAULT_IDLE_S = 4.0
+# Distance kept from the idle timeout that the replica names.
+IDLE_MARGIN_S = 0.7
+# A request that must not be repeated only uses a connection that served an answer this recently.
+PROVEN_IDLE_S = 1.0
+
+
+class ConnectionEndedError(Exception):
+    """The connection ended before the answer was whole; the request may have run."""
+
+
+class NotConnectedError(Exception):
+    """No connection could be opened, so nothing was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """A whole answer as received; ``is_reusable`` tells whether the connection can go on."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    is_reusable: bool
+
+
+class Connection:
+    """One connection to a replica."""
+
+    __slots__ = ("_socket", "expires_at", "opened_at", "used_at", "served")
+
+    def __init__(self, sock: socket.socket, now: float) -> None:
+        self._socket = sock
+        self.opened_at = now
+        self.used_at = now
+        self.expires_at = now + DEFAULT_IDLE_S
+        self.served = 0
+
+    def close(self) -> None:
+        """Close the socket; a replica drops what still runs on it."""
+        self._socket.close()
+
+    def is_stale(self) -> bool:
+        """Whether the replica has closed the idle connection or sent bytes nobody asked for."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    async def exchange(self, data: bytes, parser: AnswerParser) -> RawAnswer:
+        """Send a request and return its whole answer.
+
+        Raises
+        ------
+        ConnectionEndedError
+            The connection ended first.
+        BadAnswerError
+            The replica sent bytes that are no answer.
+        """
+        try:
+            await self._send(data)
+            await self._receive(parser)
+        except OSError as error:
+            raise ConnectionEndedError(f"connection failed: {error.strerror or error}") from error
+        return RawAnswer(
+            parser.status,
+            tuple(parser.headers),
+            parser.body,
+            parser.keeps_alive and not parser.has_extra,
+        )
+
+    async def receive_next(self, parser: AnswerParser) -> RawAnswer:
+        """Return the next answer on the connection, without sending anything."""
+        return await self.exchange(b"", parser)
+
+    async def _send(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self._socket.send(view) :]
+            except BlockingIOError:
+                await trio.lowlevel.wait_writable(self._socket)
+
+    async def _receive(self, parser: AnswerParser) -> None:
+        while not parser.is_complete:
+            await trio.lowlevel.wait_readable(self._socket)
+            data = self._socket.recv(RECEIVE_BYTES)
+            if data:
+                parser.feed(data)
+                continue
+            if parser.finish():
+                parser.keeps_alive = False
+                return
+            raise ConnectionEndedError("the replica closed the connection before its answer ended")
+
+
+class ConnectionPool:
+    """Connections of this VM to one replica.
+
+    Parameters
+    ----------
+    host, port
+        Address of the replica.
+    limit : int
+        Most connections that are open at a time.
+    """
+
+    def __init__(self, host: str, port: int, limit: int) -> None:
+        self._address = (host, port)
+        self.limit = limit
+        self.opened = 0
+        self._idle: list[Connection] = []
+        self._open: set[Connection] = set()
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections, idle or not."""
+        return len(self._open)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a request can be sent without exceeding the limit."""
+        return bool(self._idle) or len(self._open) < self.limit
+
+    @property
+    def idle_count(self) -> int:
+        """Number of idle connections."""
+        return len(self._idle)
+
+    def take_idle(self, now: float, must_be_proven: bool) -> Connection | None:
+        """Return an idle connection that still looks usable, or None."""
+        while self._idle:
+            connection = self._idle.pop()
+            is_unproven = must_be_proven and now - connection.used_at > PROVEN_IDLE_S
+            if now < connection.expires_at and not is_unproven and not connection.is_stale():
+                return connection
+            self.discard(connection)
+        return None
+
+    async def open(self) -> Connection:
+        """Open a connection.
+
+        Raises
+        ------
+        NotConnectedError
+            The replica refused it or did not accept it in time.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+        connection = Connection(sock, trio.current_time())
+        self._open.add(connection)
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                await _connect(sock, self._address)
+        except (OSError, trio.TooSlowError) as error:
+            self.discard(connection)
+            cause = "connect timeout" if isinstance(error, trio.TooSlowError) else str(error)
+            raise NotConnectedError(cause) from error
+        except BaseException:
+            self.discard(connection)
+            raise
+        self.opened += 1
+        return connection
+
+    def put_back(self, connection: Connection, now: float, idle_s: float | None) -> None:
+        """Keep a connection for the next request, for as long as the replica says it stays open."""
+        lifetime_s = DEFAULT_IDLE_S if idle_s is None else idle_s - IDLE_MARGIN_S
+        if lifetime_s <= 0:
+            self.discard(connection)
+            return
+        connection.used_at = now
+        connection.expires_at = now + lifetime_s
+        connection.served += 1
+        self._idle.append(connection)
+
+    def discard(self, connection: Connection) -> None:
+        """Close a connection."""
+        self._open.discard(connection)
+        connection.close()
+
+    def discard_idle(self, opened_before: float) -> None:
+        """Close the idle connections that were opened before a time."""
+        kept = []
+        for connection in self._idle:
+            if connection.opened_at < opened_before:
+                self.discard(connection)
+            else:
+                kept.append(connection)
+        self._idle = kept
+
+    def discard_expired(self, now: float) -> None:
+        """Close idle connections that will not be reused any more."""
+        kept = []
+        for connection in self._idle:
+            if connection.expires_at <= now:
+                self.discard(connection)
+            else:
+                kept.append(connection)
+        self._idle = kept
+
+    def close(self) -> None:
+        """Close the idle connections; busy ones are closed when their exchange ends."""
+        self.limit = 0
+        for connection in self._idle:
+            self.discard(connection)
+        self._idle = []
+
+
+async def _connect(sock: socket.socket, address: tuple[str, int]) -> None:
+    try:
+        sock.connect(address)
+        return
+    except BlockingIOError:
+        await trio.lowlevel.wait_writable(sock)
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, "cannot connect")
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/dispatcher.py
@@ -0,0 +1,118 @@
+"""Carries out attempts as background tasks and notes what they tell of replicas."""
+
+import trio
+
+from zinnia_sending.answers import Exchange, ExchangeResult
+from zinnia_sending.attempts import Attempt, AttemptSender
+from zinnia_sending.counters import SendCounters
+from zinnia_sending.events import EventSink
+from zinnia_sending.fleet import Fleet
+from zinnia_sending.protocol import ReplicaProtocol
+
+# How long an attempt that lost to a hedge may go on, so that its connection can be kept.
+ABANDON_S = 0.25
+# An attempt without an answer for this many times the tail latency, and at least this long in
+# seconds, counts as a failure of the replica.
+SILENCE_FACTOR = 4.0
+MIN_SILENCE_S = 0.35
+
+
+class Dispatcher(AttemptSender):
+    """Runs each attempt in a task of its own.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Where the tasks run; attempts may outlive the request that started them.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        fleet: Fleet,
+        protocol: ReplicaProtocol,
+        counters: SendCounters,
+        events: EventSink,
+    ) -> None:
+        self._nursery = nursery
+        self._fleet = fleet
+        self._protocol = protocol
+        self._counters = counters
+        self._events = events
+
+    def start(self, attempt: Attempt) -> None:
+        """Start to send; the attempt is settled later."""
+        self._fleet.start_send(attempt.replica, trio.current_time())
+        self._counters.count_send(attempt.reason)
+        attempt.scope = trio.CancelScope(deadline=attempt.request.end_at)
+        self._nursery.start_soon(self._carry_out, attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """End an attempt now; its connection is closed."""
+        attempt.scope.cancel()
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Let an attempt end by itself within a short time."""
+        latest = trio.current_time() + ABANDON_S
+        attempt.scope.deadline = min(attempt.scope.deadline, latest)
+
+    async def _carry_out(self, attempt: Attempt) -> None:
+        exchange = None
+        with attempt.scope:
+            exchange = await attempt.replica.exchange(
+                attempt.request.prepared,
+                self._protocol,
+                attempt.request.end_at,
+                attempt.request.route.is_idempotent,
+            )
+        if exchange is None:
+            age_s = trio.current_time() - attempt.started_at
+            exchange = Exchange(ExchangeResult.CANCELLED, age_s, None, "given up")
+        self._record(attempt, exchange)
+        attempt.finish(exchange)
+
+    def _record(self, attempt: Attempt, exchange: Exchange) -> None:
+        now = trio.current_time()
+        replica, latency = attempt.replica, attempt.request.latency
+        replica.health.outstanding -= 1
+        slowness = exchange.duration_s / latency.median_s
+        self._counters.count_result(exchange.result, exchange.duration_s)
+        result = exchange.result
+        if result is ExchangeResult.ANSWERED:
+            latency.record(exchange.duration_s)
+            replica.health.record_answer(slowness, now)
+            self._record_version(attempt, True, slowness)
+        elif result is ExchangeResult.NOT_RUN:
+            replica.health.record_rejection(now)
+        elif result is ExchangeResult.WRONG_REPLICA:
+            self._events.note("replica_replaced", replica=replica.id, cause=exchange.cause)
+        elif result is ExchangeResult.CANCELLED:
+            self._record_cancelled(attempt, exchange, slowness, now)
+        else:
+            self._record_failure(attempt, exchange.cause, now)
+
+    def _record_cancelled(
+        self, attempt: Attempt, exchange: Exchange, slowness: float, now: float
+    ) -> None:
+        latency = attempt.request.latency
+        attempt.replica.health.record_unfinished(slowness, now)
+        if exchange.duration_s < max(MIN_SILENCE_S, SILENCE_FACTOR * latency.tail_s):
+            return
+        attempt.replica.pool.discard_idle(attempt.started_at)
+        self._record_failure(attempt, "no answer", now)
+
+    def _record_failure(self, attempt: Attempt, cause: str, now: float) -> None:
+        replica = attempt.replica
+        self._record_version(attempt, False, 1.0)
+        if replica.health.record_failure(now):
+            self._events.note(
+                "replica_suspended",
+                replica=replica.id,
+                service=replica.entry.service,
+                cause=cause,
+                retry_in_s=round(replica.health.get_trial_time() - now, 3),
+            )
+
+    def _record_version(self, attempt: Attempt, is_good: bool, slowness: float) -> None:
+        entry = attempt.replica.entry
+        self._fleet.versions.record(entry.service, entry.version, is_good, slowness)
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -0,0 +1,243 @@
+"""The replicas of all services, and the choice of one for a request."""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+
+from zinnia_catalog.catalog import CatalogListener
+from zinnia_catalog.ids import DataCentreId, ReplicaId, ServiceName
+from zinnia_catalog.releases import ReleaseOrder
+from zinnia_catalog.replicas import ReplicaEntry
+from zinnia_catalog.routes import Configuration, ServiceLimits
+from zinnia_sending.events import EventSink
+from zinnia_sending.health import Condition
+from zinnia_sending.replica import Replica
+from zinnia_sending.versions import VersionShares
+
+# Part of a replica's connections that the VMs use together; the rest is for health checks and
+# VMs that are not known yet.
+CONNECTION_PART = 0.85
+MIN_CONNECTIONS = 2
+# Part of the warm-up rate that the VMs use together, before the margin that the bounds allow.
+WARMUP_PART = 0.7
+# Relative latency that makes a replica in another data centre the better choice.
+OTHER_DATA_CENTRE_PENALTY = 0.08
+# Random part of the score, so that VMs with the same view do not choose alike.
+SCORE_JITTER = 0.1
+# Relative latency added for a replica that is warming up.
+COLD_PENALTY = 0.6
+EVACUATION_COLD_S = 3.0
+
+
+@dataclass(slots=True)
+class Candidates:
+    """The replicas of one service that may get work, by how good they are."""
+
+    usable: list[Replica] = field(default_factory=list)
+    next_trial_at: float | None = None
+
+
+class Fleet(CatalogListener):
+    """Replicas by service.
+
+    Parameters
+    ----------
+    data_centre : DataCentreId
+        Where this VM runs.
+    count_vms : Callable[[], int]
+        Number of VMs that may be sending.
+    events : EventSink
+        Told of each change of what is believed.
+    random : Random
+        Breaks ties.
+    """
+
+    def __init__(
+        self,
+        data_centre: DataCentreId,
+        count_vms: Callable[[], int],
+        events: EventSink,
+        random: Random,
+    ) -> None:
+        self.versions = VersionShares(events)
+        self._data_centre = data_centre
+        self._count_vms = count_vms
+        self._events = events
+        self._random = random
+        self._replicas: dict[ReplicaId, Replica] = {}
+        self._services: dict[ServiceName, list[Replica]] = {}
+        self._limits: dict[ServiceName, ServiceLimits] = {}
+        self._out: set[DataCentreId] = set()
+
+    def adopt_configuration(self, configuration: Configuration) -> None:
+        """Take the limits of all services."""
+        self._limits.update(configuration.services)
+        self._events.note(
+            "configuration_adopted",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            services=len(configuration.services),
+        )
+        for service in configuration.services:
+            for replica in self._services.get(service, ()):
+                replica.pool.limit = self._share_connections(service)
+
+    def update_replica(self, entry: ReplicaEntry, was_out: bool) -> None:
+        """Add a replica or take its new entry; another incarnation starts with nothing known."""
+        now = trio.current_time()
+        known = self._replicas.get(entry.id)
+        if known is not None and _is_same_incarnation(known.entry, entry):
+            if entry.is_draining and not known.entry.is_draining:
+                self._events.note("replica_draining", replica=entry.id, service=entry.service)
+                known.pool.limit = 0
+                known.pool.discard_idle(now)
+            known.entry = entry
+            if entry.warmup_remaining_s > 0:
+                known.mark_cold(entry.warmup_remaining_s, now)
+            return
+        if known is not None:
+            self._drop(known)
+        replica = Replica(entry, self._share_connections(entry.service), now)
+        self._replicas[entry.id] = replica
+        self._services.setdefault(entry.service, []).append(replica)
+        self._events.note(
+            "replica_added",
+            replica=entry.id,
+            service=entry.service,
+            data_centre=entry.data_centre,
+            version=entry.version,
+            draining=entry.is_draining,
+            warmup_s=entry.warmup_remaining_s,
+        )
+
+    def remove_replica(self, replica: ReplicaId, reason: str) -> None:
+        """Send nothing more to a replica."""
+        known = self._replicas.get(replica)
+        if known is not None:
+            self._drop(known)
+            self._events.note(
+                "replica_removed", replica=replica, service=known.entry.service, reason=reason
+            )
+
+    def change_data_centre(self, data_centre: DataCentreId, is_out: bool) -> None:
+        """Take a data centre out, or return it; its replicas are cold on return."""
+        now = trio.current_time()
+        self._events.note("data_centre_changed", data_centre=data_centre, out=is_out)
+        if is_out:
+            self._out.add(data_centre)
+            return
+        self._out.discard(data_centre)
+        for replica in self._replicas.values():
+            if replica.entry.data_centre == data_centre:
+                limits = self._limits.get(replica.entry.service)
+                replica.mark_cold(limits.warmup_s if limits else EVACUATION_COLD_S, now)
+
+    def change_release(self, service: ServiceName, order: ReleaseOrder | None) -> None:
+        """Take the order of a version move."""
+        self.versions.change_order(service, order, trio.current_time())
+
+    def list_replicas(self, service: ServiceName) -> list[Replica]:
+        """Return all replicas of a service."""
+        return self._services.get(service, [])
+
+    def get_replica(self, replica: ReplicaId) -> Replica | None:
+        """Return a replica by its id."""
+        return self._replicas.get(replica)
+
+    def count_replicas(self) -> int:
+        """Return the number of known replicas."""
+        return len(self._replicas)
+
+    def find_candidates(
+        self, service: ServiceName, tried: Collection[ReplicaId], now: float
+    ) -> Candidates:
+        """Return the replicas of a service that may get a request now."""
+        found = Candidates()
+        version_filter = self.versions.get_filter(service)
+        for replica in self._services.get(service, ()):
+            entry = replica.entry
+            if entry.is_draining or replica.is_gone or entry.id in tried:
+                continue
+            if entry.data_centre in self._out or not version_filter.allows(entry.version):
+                continue
+            if not replica.allows_warmup(self._limits.get(service), self._warmup_factor(), now):
+                continue
+            condition = replica.health.get_condition(now)
+            if condition is Condition.SUSPENDED:
+                trial_at = replica.health.get_trial_time()
+                earliest = found.next_trial_at
+                found.next_trial_at = trial_at if earliest is None else min(earliest, trial_at)
+                continue
+            if condition is Condition.TRIAL_DUE and replica.health.outstanding:
+                continue
+            if replica.pool.has_room:
+                found.usable.append(replica)
+        return found
+
+    def choose(
+        self, service: ServiceName, tried: Collection[ReplicaId], now: float
+    ) -> Replica | None:
+        """Return the replica that is expected to answer first, or None."""
+        usable = self.find_candidates(service, tried, now).usable
+        if not usable:
+            return None
+        if len(usable) == 1:
+            return usable[0]
+        return min(usable, key=lambda replica: self._score(replica, now))
+
+    def start_send(self, replica: Replica, now: float) -> None:
+        """Count a request that is about to be sent to a replica."""
+        health = replica.health
+        if health.get_condition(now) is Condition.TRIAL_DUE:
+            health.start_trial(now)
+        health.outstanding += 1
+        limits = self._limits.get(replica.entry.service)
+        replica.take_warmup(limits, self._warmup_factor(), now)
+        self.versions.count_send(replica.entry.service, replica.entry.version)
+
+    def discard_expired(self, now: float) -> None:
+        """Close connections that stay idle for too long."""
+        for replica in self._replicas.values():
+            replica.pool.discard_expired(now)
+
+    def _score(self, replica: Replica, now: float) -> float:
+        health = replica.health
+        slots = max(1, replica.entry.slots)
+        score = health.get_slowness(now) * (1.0 + health.outstanding / slots)
+        score /= max(0.05, 1.0 - health.get_rejection_rate(now))
+        if replica.is_cold(now):
+            score += COLD_PENALTY
+        if health.get_condition(now) is Condition.TRIAL_DUE:
+            score *= 2.0
+        if replica.entry.data_centre != self._data_centre:
+            score += OTHER_DATA_CENTRE_PENALTY
+        return score * (1.0 + SCORE_JITTER * self._random.random())
+
+    def _share_connections(self, service: ServiceName) -> int:
+        limits = self._limits.get(service)
+        if limits is None:
+            return MIN_CONNECTIONS
+        share = limits.max_connections * CONNECTION_PART / max(1, self._count_vms())
+        return max(MIN_CONNECTIONS, int(share))
+
+    def _warmup_factor(self) -> float:
+        return WARMUP_PART / max(1, self._count_vms())
+
+    def _drop(self, replica: Replica) -> None:
+        replica.is_gone = True
+        replica.pool.close()
+        del self._replicas[replica.id]
+        replicas = self._services[replica.entry.service]
+        replicas.remove(replica)
+        if not replicas:
+            del self._services[replica.entry.service]
+
+
+def _is_same_incarnation(known: ReplicaEntry, entry: ReplicaEntry) -> bool:
+    return (
+        known.started_ms == entry.started_ms
+        and known.service == entry.service
+        and (known.host, known.port) == (entry.host, entry.port)
+    )
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/parser.py
@@ -0,0 +1,113 @@
+"""Incremental parser of one replica's answers on a connection, on top of httptools."""
+
+import httptools
+
+# Answers are held in memory until they are whole.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+
+
+class BadAnswerError(Exception):
+    """The replica sent bytes that are no answer; close the connection."""
+
+
+class AnswerParser:
+    """Parses one answer; anything that follows it on the connection is noted as ``has_extra``.
+
+    Parameters
+    ----------
+    is_head : bool
+        Whether the request was HEAD, so that the answer has no body.
+    """
+
+    def __init__(self, is_head: bool = False) -> None:
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.is_complete = False
+        self.has_extra = False
+        self.has_started = False
+        self.keeps_alive = False
+        self._is_head = is_head
+        self._body: list[bytes] = []
+        self._size = 0
+        self._has_headers = False
+        self._is_framed = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    @property
+    def body(self) -> bytes:
+        """The body received so far."""
+        return b"".join(self._body)
+
+    def feed(self, data: bytes) -> None:
+        """Take received bytes.
+
+        Raises
+        ------
+        BadAnswerError
+            The bytes are no answer, or the answer is too large.
+        """
+        self.has_started = True
+        if self.is_complete:
+            self.has_extra = True
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise BadAnswerError("the replica answered with a protocol upgrade") from error
+        except httptools.HttpParserError as error:
+            if not self.is_complete:
+                raise BadAnswerError(f"no valid answer: {error}") from error
+            self.has_extra = True
+
+    def finish(self) -> bool:
+        """Note the end of the connection; return whether the answer is whole."""
+        if not self.is_complete and self._has_headers and not self._is_framed:
+            self.is_complete = True
+        return self.is_complete
+
+    # The names of the methods below are fixed by httptools.
+
+    def on_message_begin(self) -> None:
+        """Start an answer; a second one on the connection belongs to no request."""
+        if self.is_complete:
+            self.has_extra = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        if not self.is_complete:
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Note status and framing."""
+        if self.is_complete:
+            return
+        self._has_headers = True
+        self.status = self._parser.get_status_code()
+        self.keeps_alive = self._parser.should_keep_alive()
+        self._is_framed = any(
+            name in (b"content-length", b"transfer-encoding") for name, _ in self.headers
+        )
+        if self._is_head:
+            self._complete()
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a piece of the body."""
+        if self.is_complete:
+            return
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            raise BadAnswerError(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the answer; an interim answer is dropped."""
+        if self.is_complete:
+            return
+        if self.status < 200:
+            self.headers.clear()
+            self._has_headers = False
+            return
+        self._complete()
+
+    def _complete(self) -> None:
+        self.is_complete = True
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -0,0 +1,154 @@
+"""One replica: its entry, its connections, its health and its warm-up."""
+
+import trio
+
+from zinnia_catalog.ids import ReplicaId
+from zinnia_catalog.replicas import ReplicaEntry
+from zinnia_catalog.routes import ServiceLimits
+from zinnia_sending.answers import AnswerFacts, Exchange, ExchangeResult, ReplicaAnswer
+from zinnia_sending.budgets import RateShare
+from zinnia_sending.connections import (
+    Connection,
+    ConnectionEndedError,
+    ConnectionPool,
+    NotConnectedError,
+    RawAnswer,
+)
+from zinnia_sending.health import ReplicaHealth
+from zinnia_sending.parser import AnswerParser, BadAnswerError
+from zinnia_sending.protocol import PreparedRequest, ReplicaProtocol
+
+# Answers to other requests that are skipped before the connection is given up.
+MAX_FOREIGN_ANSWERS = 3
+
+
+class Replica:
+    """A replica that may get requests."""
+
+    def __init__(self, entry: ReplicaEntry, connection_limit: int, now: float) -> None:
+        self.entry = entry
+        self.health = ReplicaHealth(now)
+        self.pool = ConnectionPool(entry.host, entry.port, connection_limit)
+        self.warm_at = now + entry.warmup_remaining_s
+        self.is_gone = False
+        self._warmup: RateShare | None = None
+
+    @property
+    def id(self) -> ReplicaId:
+        """Id of the replica."""
+        return self.entry.id
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the replica is still warming up."""
+        return now < self.warm_at
+
+    def mark_cold(self, duration_s: float, now: float) -> None:
+        """Treat the replica as cold for some seconds from now."""
+        self.warm_at = max(self.warm_at, now + duration_s)
+
+    def allows_warmup(self, limits: ServiceLimits | None, factor: float, now: float) -> bool:
+        """Whether a cold replica may get a request from this VM now.
+
+        ``factor`` turns the rate of the service's limits into this VM's share of it.
+        """
+        if limits is None or limits.warmup_rate_per_s <= 0 or not self.is_cold(now):
+            return True
+        return self._get_share(limits.warmup_rate_per_s * factor, now).has_token(now)
+
+    def take_warmup(self, limits: ServiceLimits | None, factor: float, now: float) -> None:
+        """Count a request that is about to be sent against the warm-up rate."""
+        if limits is not None and limits.warmup_rate_per_s > 0 and self.is_cold(now):
+            self._get_share(limits.warmup_rate_per_s * factor, now).take(now)
+
+    def _get_share(self, rate_per_s: float, now: float) -> RateShare:
+        if self._warmup is None:
+            self._warmup = RateShare(rate_per_s, now)
+        self._warmup.rate_per_s = rate_per_s
+        return self._warmup
+
+    async def exchange(
+        self,
+        request: PreparedRequest,
+        protocol: ReplicaProtocol,
+        end_at: float,
+        is_idempotent: bool,
+    ) -> Exchange:
+        """Send a request and return how that ended; raises only on cancellation."""
+        started = trio.current_time()
+        connection = self.pool.take_idle(started, not is_idempotent)
+        try:
+            if connection is None:
+                connection = await self.pool.open()
+        except NotConnectedError as error:
+            return _settle(ExchangeResult.NOT_SENT, started, str(error))
+        is_kept = False
+        try:
+            remaining_s = end_at - trio.current_time()
+            if remaining_s <= 0:
+                is_kept = True
+                self.pool.put_back(connection, trio.current_time(), None)
+                return _settle(ExchangeResult.NOT_SENT, started, "no time left")
+            data = request.render(self.id, remaining_s)
+            raw, facts = await self._receive_own(connection, data, request, protocol)
+            is_kept = raw.is_reusable
+            if is_kept:
+                self.pool.put_back(connection, trio.current_time(), read_idle_s(raw.headers))
+            return self._judge(raw, facts, started)
+        except (ConnectionEndedError, BadAnswerError) as error:
+            return _settle(ExchangeResult.BROKEN, started, str(error))
+        finally:
+            if not is_kept:
+                self.pool.discard(connection)
+
+    async def _receive_own(
+        self,
+        connection: Connection,
+        data: bytes,
+        request: PreparedRequest,
+        protocol: ReplicaProtocol,
+    ) -> tuple[RawAnswer, AnswerFacts]:
+        """Return the answer to this request; late answers to earlier ones are skipped."""
+        raw = await connection.exchange(data, AnswerParser(request.is_head))
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            facts = protocol.read_facts(raw.status, raw.headers)
+            if facts.request_id in (b"", request.request_id):
+                return raw, facts
+            if not raw.is_reusable:
+                break
+            raw = await connection.receive_next(AnswerParser(request.is_head))
+        raise BadAnswerError("the answer belongs to another request")
+
+    def _judge(self, raw: RawAnswer, facts: AnswerFacts, started: float) -> Exchange:
+        if facts.warmup_s:
+            self.mark_cold(facts.warmup_s, trio.current_time())
+        if facts.is_wrong_replica:
+            self.is_gone = True
+            return _settle(ExchangeResult.WRONG_REPLICA, started, "another replica answered")
+        if facts.is_not_run:
+            return _settle(ExchangeResult.NOT_RUN, started, f"status {raw.status}, not run")
+        if facts.has_encoding:
+            return _settle(ExchangeResult.BROKEN, started, "the body is encoded")
+        answer = ReplicaAnswer(raw.status, raw.headers, raw.body, facts.signature)
+        duration_s = trio.current_time() - started
+        if answer.is_success and not facts.signature:
+            return _settle(ExchangeResult.BROKEN, started, "a success without a signature")
+        if raw.status >= 500:
+            cause = f"status {raw.status}"
+            return Exchange(ExchangeResult.FAILED, duration_s, answer, cause)
+        return Exchange(ExchangeResult.ANSWERED, duration_s, answer)
+
+
+def read_idle_s(headers: tuple[tuple[bytes, bytes], ...]) -> float | None:
+    """Return the idle timeout of a ``Keep-Alive`` header in seconds, None without one."""
+    for name, value in headers:
+        if name != b"keep-alive":
+            continue
+        for part in value.split(b","):
+            key, _, number = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and number.strip().isdigit():
+                return float(number)
+    return None
+
+
+def _settle(result: ExchangeResult, started: float, cause: str) -> Exchange:
+    return Exchange(result, trio.current_time() - started, None, cause)
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/weights.py
@@ -0,0 +1,24 @@
+"""Spreads the requests of a route over services in proportion to their weights."""
+
+from collections.abc import Sequence
+
+from zinnia_catalog.ids import ServiceName
+from zinnia_catalog.routes import WeightedService
+
+
+class WeightedChoice:
+    """Smooth weighted round robin: every run of requests is close to the weights."""
+
+    def __init__(self) -> None:
+        self._credits: dict[ServiceName, float] = {}
+
+    def choose(self, targets: Sequence[WeightedService]) -> ServiceName:
+        """Return the service of the next request."""
+        total = sum(target.weight for target in targets)
+        names = {target.service for target in targets}
+        self._credits = {name: self._credits.get(name, 0.0) for name in names}
+        for target in targets:
+            self._credits[target.service] += target.weight
+        best = max(targets, key=lambda target: self._credits[target.service]).service
+        self._credits[best] -= total
+        return best
