--- a/libs/catalog/src/zinnia_catalog/collections.py
+++ b/libs/catalog/src/zinnia_catalog/collections.py
@@ -67,8 +67,10 @@
         return known is None or known.revision < item.revision
 
     def _is_change(self, change: Change) -> bool:
-        return change.object.name in self.objects if change.is_deleted else self._is_news(
-            change.object
+        return (
+            change.object.name in self.objects
+            if change.is_deleted
+            else self._is_news(change.object)
         )
 
     def _apply(self, changes: Iterable[Change]) -> None:
--- a/libs/entry/src/zinnia_entry/handler.py
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -109,8 +109,10 @@
         return RequestRun(run_request, self._fleet, self._budget, self._sender)
 
     def _choose_service(self, route: Route, state: RouteState) -> ServiceName:
-        return route.targets[0].service if len(route.targets) == 1 else state.weights.choose(
-            route.targets
+        return (
+            route.targets[0].service
+            if len(route.targets) == 1
+            else state.weights.choose(route.targets)
         )
 
     def _find_elapsed(self, state: RouteState, deadline_s: float) -> float:
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -28,7 +28,6 @@
 STOP_ACCEPT_S = 3.0
 # Time before the end of the grace period at which the process ends in any case.
 STOP_MARGIN_S = 0.5
-STOP_POLL_S = 0.05
 MEMBERS_INTERVAL_S = 10.0
 FOLLOWED_KINDS = (
     ObjectKind.CONFIGURATION,
@@ -116,9 +115,7 @@
         )
         callers = CallerServer(handler, self._get_limits, self.events)
         self._servers.append(callers)
-        readiness = CallerServer(
-            ReadinessHandler(lambda: self.is_ready), CallerLimits, self.events
-        )
+        readiness = CallerServer(ReadinessHandler(lambda: self.is_ready), CallerLimits, self.events)
         nursery.start_soon(callers.serve, settings.callers.host, settings.callers.port, nursery)
         nursery.start_soon(
             readiness.serve, settings.readiness.host, settings.readiness.port, nursery
@@ -127,9 +124,7 @@
             metrics = CallerServer(
                 MetricsHandler(self.metrics, self._refresh_ages), CallerLimits, self.events
             )
-            nursery.start_soon(
-                metrics.serve, settings.metrics.host, settings.metrics.port, nursery
-            )
+            nursery.start_soon(metrics.serve, settings.metrics.host, settings.metrics.port, nursery)
         for feed in self._feeds:
             nursery.start_soon(feed.run)
         nursery.start_soon(self._keep_up)
@@ -188,8 +183,7 @@
         self.events.note("stopping", busy=sum(server.busy for server in self._servers))
         with trio.move_on_after(self._settings.grace_period_s - STOP_MARGIN_S):
             await trio.sleep(STOP_ACCEPT_S)
-            while any(server.busy for server in self._servers):
-                await trio.sleep(STOP_POLL_S)
-        for server in self._servers:
-            server.close_idle()
+            for server in self._servers:
+                server.close_idle()
+                await server.wait_closed()
         self.events.note("stopped_serving", after_s=round(trio.current_time() - started, 2))
--- a/libs/entry/src/zinnia_entry/server.py
+++ b/libs/entry/src/zinnia_entry/server.py
@@ -15,7 +15,7 @@
 BACKLOG = 512
 # Callers reuse a connection up to the idle timeout that they know, which may be an older one.
 IDLE_SLACK = 1.2
-# Part of the header timeout within which the body has to go on.
+# A caller that does not read its reply for this long is cut off.
 WRITE_TIMEOUT_S = 5.0
 # A port may still be held for a moment by the process that ran here before.
 BIND_ATTEMPTS = 20
@@ -62,40 +62,54 @@
         self._get_limits = get_limits
         self._events = events
         self._idle: set[trio.CancelScope] = set()
+        self._is_closing = False
+        self._listener: trio.socket.SocketType | None = None
+        self._closed = trio.Event()
         self.is_draining = False
         self.busy = 0
         self.connections = 0
 
     async def serve(self, host: str, port: int, nursery: trio.Nursery) -> None:
         """Listen and serve connections until cancelled."""
-        listener = await open_listener(host, port)
+        self._listener = listener = await open_listener(host, port)
         with listener:
-            while True:
+            while not self._is_closing:
                 try:
                     connection, _ = await listener.accept()
-                except OSError as error:
+                except (OSError, trio.ClosedResourceError) as error:
+                    if self._is_closing:
+                        return
                     self._events.note("accept_failed", cause=str(error))
                     await trio.sleep(BIND_PAUSE_S)
                     continue
                 nursery.start_soon(self._serve_connection, connection)
 
     def close_idle(self) -> None:
-        """Close connections on which no request is being read or answered."""
+        """Close connections without a request; the others close after their reply."""
+        self.is_draining = True
+        self._is_closing = True
+        if self._listener is not None:
+            self._listener.close()
         for scope in list(self._idle):
             scope.cancel()
 
+    async def wait_closed(self) -> None:
+        """Return once no connection is open."""
+        while self.connections:
+            await self._closed.wait()
+            self._closed = trio.Event()
+
     async def _serve_connection(self, connection: trio.socket.SocketType) -> None:
         self.connections += 1
         try:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-            )
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
             await _CallerConnection(self, connection).run()
         except OSError:
             pass  # The caller is gone; its request was cancelled and logged where it ran.
         finally:
             self.connections -= 1
+            self._closed.set()
             connection.close()
 
 
@@ -148,6 +162,8 @@
         """Wait for the first byte of a request; return False if none comes in time."""
         if self._http.trailing_data[0]:
             return True
+        if self._server._is_closing:
+            return False
         idle_since = trio.current_time()
         while True:
             idle_until = idle_since + self._server._get_limits().idle_timeout_s * IDLE_SLACK
@@ -160,7 +176,7 @@
                 self._feed(data)
                 return bool(data)
             latest = idle_since + self._server._get_limits().idle_timeout_s * IDLE_SLACK
-            if self._server.is_draining or trio.current_time() >= latest:
+            if self._server._is_closing or trio.current_time() >= latest:
                 return False
 
     async def _receive_body(self, head: h11.Request) -> bytes:
