--- a/libs/catalog/src/zinnia_catalog/collections.py
+++ b/libs/catalog/src/zinnia_catalog/collections.py
@@ -1,7 +1,6 @@
 """The last known objects of one kind, with the changes that led there."""
 
 from collections import deque
-from collections.abc import Iterable
 
 from zinnia_catalog.objects import Change, Changes, Listing, ObjectKind, StoredObject
 
@@ -31,8 +30,8 @@
         names = {item.name for item in listing.objects}
         gone = [item for name, item in self.objects.items() if name not in names]
         changes = [Change(item, True) for item in gone]
-        changes += [Change(item, False) for item in listing.objects if self._is_news(item)]
-        self._apply(changes)
+        changes += [Change(item, False) for item in listing.objects]
+        changes = [change for change in changes if self._apply_one(change)]
         self._history.clear()
         self.revision = self._history_start = listing.revision
         return tuple(changes)
@@ -41,8 +40,7 @@
         """Take changes that follow this collection's revision; return those that are new."""
         if news.revision < self.revision:
             return ()
-        changes = [change for change in news.changes if self._is_change(change)]
-        self._apply(changes)
+        changes = [change for change in news.changes if self._apply_one(change)]
         self._history.extend((news.revision, change) for change in changes)
         self.revision = news.revision
         return tuple(changes)
@@ -62,20 +60,16 @@
         is_full = len(self._history) == HISTORY_CHANGES
         return is_full and revision < self._history[0][0]
 
-    def _is_news(self, item: StoredObject) -> bool:
+    def _apply_one(self, change: Change) -> bool:
+        """Apply a change unless a newer one is known; return whether it was applied."""
+        item = change.object
         known = self.objects.get(item.name)
-        return known is None or known.revision < item.revision
-
-    def _is_change(self, change: Change) -> bool:
-        return (
-            change.object.name in self.objects
-            if change.is_deleted
-            else self._is_news(change.object)
-        )
-
-    def _apply(self, changes: Iterable[Change]) -> None:
-        for change in changes:
-            if change.is_deleted:
-                self.objects.pop(change.object.name, None)
-            else:
-                self.objects[change.object.name] = change.object
+        if change.is_deleted:
+            if known is None or known.revision > item.revision:
+                return False
+            del self.objects[item.name]
+            return True
+        if known is not None and known.revision >= item.revision:
+            return False
+        self.objects[item.name] = item
+        return True
--- a/libs/catalog/src/zinnia_catalog/routes.py
+++ b/libs/catalog/src/zinnia_catalog/routes.py
@@ -25,7 +25,7 @@
 class Route:
     """Where requests of one host and path prefix go, and what they may cost.
 
-    ``shards`` is empty for a route to single replicas; ``targets`` is empty for a route over shards.
+    ``shards`` is empty for a route to single replicas, ``targets`` for a route over shards.
     Times are in seconds; ``priority`` 0 is the highest.
     """
 
--- a/libs/entry/src/zinnia_entry/feeds.py
+++ b/libs/entry/src/zinnia_entry/feeds.py
@@ -1,71 +1,66 @@
 """Follows the objects of one kind in the platform's store."""
 
-from collections.abc import Callable
 from random import Random
 
 import trio
 
-from zinnia_catalog.collections import Collection
-from zinnia_catalog.objects import (
-    Change,
-    HistoryLostError,
-    ObjectKind,
-    ObjectStore,
-    StoreError,
-)
+from zinnia_catalog.objects import HistoryLostError, ObjectKind, ObjectStore, StoreError
 from zinnia_entry.metrics import Metrics
+from zinnia_relay.beliefs import Beliefs
 from zinnia_sending.events import EventSink
 
-# A watch ends after this time without a change, so a silent connection is found soon after.
-WATCH_WAIT_S = 5.0
+# A watch ends after this time without a change. It bounds how long a silent connection goes
+# unnoticed, and how old the news of a VM that others follow can be.
+WATCH_WAIT_S = {
+    ObjectKind.CONFIGURATION: 1.5,
+    ObjectKind.REPLICAS: 1.5,
+    ObjectKind.DATA_CENTRES_OUT: 3.0,
+    ObjectKind.RELEASES: 3.0,
+}
+# Changes of many replicas within this time are fetched with one call.
+GATHER_S = {ObjectKind.REPLICAS: 0.25}
 RETRY_FIRST_S = 0.15
 RETRY_MAX_S = 1.5
-# A store that was away this recently may have let entries of living replicas lapse.
-OUTAGE_MEMORY_S = 5.0
-
-Applier = Callable[[ObjectKind, tuple[Change, ...], bool], None]
 
 
 class StoreFeed:
-    """Keeps one collection up to date with a watch.
+    """Keeps what is known of one kind up to date with a watch.
 
     Parameters
     ----------
-    collection : Collection
+    kind : ObjectKind
+        The kind to follow.
+    beliefs : Beliefs
         What is kept up to date; a peer may advance it meanwhile.
-    apply : Applier
-        Told of changes, and whether the store was away shortly before.
     """
 
     def __init__(
         self,
-        collection: Collection,
+        kind: ObjectKind,
         store: ObjectStore,
-        apply: Applier,
+        beliefs: Beliefs,
         metrics: Metrics,
         events: EventSink,
         random: Random,
     ) -> None:
-        self.collection = collection
-        self.confirmed_at: float | None = None
         self.is_lost = False
+        self._kind = kind
         self._store = store
-        self._apply = apply
+        self._beliefs = beliefs
         self._metrics = metrics
         self._events = events
         self._random = random
-        self._failed_at: float | None = None
-        self._must_list = True
+        self._must_list = not beliefs.collections[kind].is_known
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         pause_s = RETRY_FIRST_S
         while True:
             try:
-                await self._step()
+                has_changed = await self._step()
             except HistoryLostError:
                 self._must_list = True
-                self._events.note("history_lost", kind=self.collection.kind.value)
+                self._events.note("history_lost", kind=self._kind.value)
                 await trio.sleep(self._random.random() * RETRY_FIRST_S)
                 continue
             except StoreError as error:
@@ -75,38 +70,31 @@
                 continue
             pause_s = RETRY_FIRST_S
             self._note_success()
+            if has_changed:
+                await trio.sleep(GATHER_S.get(self._kind, 0.0))
 
-    async def _step(self) -> None:
-        collection = self.collection
+    async def _step(self) -> bool:
+        collection = self._beliefs.collections[self._kind]
         if self._must_list:
-            listing = await self._store.list(collection.kind)
+            changes = collection.replace(await self._store.list(self._kind))
             self._must_list = False
-            changes = collection.replace(listing)
         else:
-            news = await self._store.watch(collection.kind, collection.revision, WATCH_WAIT_S)
+            wait_s = WATCH_WAIT_S[self._kind]
+            news = await self._store.watch(self._kind, collection.revision, wait_s)
             changes = collection.advance(news)
-        if changes:
-            self._apply(collection.kind, changes, self._was_away())
-
-    def _was_away(self) -> bool:
-        if self._failed_at is None:
-            return False
-        return trio.current_time() - self._failed_at < OUTAGE_MEMORY_S
+        self._beliefs.confirm(self._kind, changes)
+        return bool(changes)
 
     def _note_failure(self, error: StoreError) -> None:
-        self._failed_at = trio.current_time()
-        self._metrics.count_store_call(self.collection.kind.value, "failed")
+        self._beliefs.note_failure(self._kind)
+        self._metrics.count_store_call(self._kind.value, "failed")
         if not self.is_lost:
             self.is_lost = True
-            self._events.note("store_lost", kind=self.collection.kind.value, cause=error.cause)
+            self._events.note("store_lost", kind=self._kind.value, cause=error.cause)
 
     def _note_success(self) -> None:
-        self._metrics.count_store_call(self.collection.kind.value, "served")
-        self.confirmed_at = trio.current_time()
+        self._metrics.count_store_call(self._kind.value, "served")
         if self.is_lost:
             self.is_lost = False
-            self._events.note(
-                "store_regained",
-                kind=self.collection.kind.value,
-                revision=self.collection.revision,
-            )
+            revision = self._beliefs.collections[self._kind].revision
+            self._events.note("store_regained", kind=self._kind.value, revision=revision)
--- a/libs/entry/src/zinnia_entry/handler.py
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True)
 class RouteState:
-    """What a VM learns of one route: latencies, weights, and the deadline that callers start with."""
+    """What a VM learns of one route: latencies, weights, and the deadline of first attempts."""
 
     latency: LatencyHistogram
     weights: WeightedChoice
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -10,14 +10,16 @@
 from zinnia_catalog.collections import Collection
 from zinnia_catalog.objects import ObjectKind, ObjectStore, StoreError
 from zinnia_catalog.routes import CallerLimits
-from zinnia_entry.feeds import StoreFeed
 from zinnia_entry.handler import TierHandler
 from zinnia_entry.logs import EventLog, RequestLog
 from zinnia_entry.messages import CallerProtocol
 from zinnia_entry.metrics import Metrics
 from zinnia_entry.probes import MetricsHandler, ReadinessHandler
-from zinnia_entry.server import CallerServer
+from zinnia_entry.server import CallerServer, open_listener
 from zinnia_entry.settings import EntrySettings
+from zinnia_entry.sources import FOLLOWED_KINDS, SourceController
+from zinnia_relay.beliefs import Beliefs
+from zinnia_relay.server import RelayServer
 from zinnia_sending.budgets import RetryBudget
 from zinnia_sending.dispatcher import Dispatcher
 from zinnia_sending.fleet import Fleet
@@ -29,12 +31,8 @@
 # Time before the end of the grace period at which the process ends in any case.
 STOP_MARGIN_S = 0.5
 MEMBERS_INTERVAL_S = 10.0
-FOLLOWED_KINDS = (
-    ObjectKind.CONFIGURATION,
-    ObjectKind.REPLICAS,
-    ObjectKind.DATA_CENTRES_OUT,
-    ObjectKind.RELEASES,
-)
+# VMs that start together register within this time.
+MEMBERS_FIRST_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,8 +67,18 @@
         self._fleet = Fleet(settings.data_centre, self.count_vms, events, self._random)
         self.catalog = Catalog(adapter.decoder, self._fleet, trio.current_time)
         self._budget = RetryBudget(settings.retry_bounds, self.count_vms)
-        self._collections = {kind: Collection(kind) for kind in ObjectKind}
-        self._feeds = [self._make_feed(kind) for kind in FOLLOWED_KINDS]
+        self._members = Collection(ObjectKind.MEMBERS)
+        self._beliefs = Beliefs(FOLLOWED_KINDS, self.catalog.apply)
+        self._sources = SourceController(
+            settings,
+            self._beliefs,
+            adapter.store,
+            lambda: self.catalog.members,
+            metrics,
+            events,
+            self._random,
+        )
+        self._relay = RelayServer(settings.vm, self._beliefs)
         self._is_stopping = False
         self._servers: list[CallerServer] = []
 
@@ -83,7 +91,7 @@
         """Whether this VM takes new connections."""
         if self._is_stopping or self.catalog.configuration is None:
             return False
-        return self._collections[ObjectKind.REPLICAS].is_known
+        return self._beliefs.collections[ObjectKind.REPLICAS].is_known
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
@@ -125,31 +133,26 @@
                 MetricsHandler(self.metrics, self._refresh_ages), CallerLimits, self.events
             )
             nursery.start_soon(metrics.serve, settings.metrics.host, settings.metrics.port, nursery)
-        for feed in self._feeds:
-            nursery.start_soon(feed.run)
+        if settings.peers is not None:
+            nursery.start_soon(self._serve_peers, settings.peers.host, settings.peers.port)
+        nursery.start_soon(self._sources.run)
         nursery.start_soon(self._keep_up)
         nursery.start_soon(self._follow_members)
         nursery.start_soon(self.events.run)
 
-    def _make_feed(self, kind: ObjectKind) -> StoreFeed:
-        return StoreFeed(
-            self._collections[kind],
-            self._adapter.store,
-            self.catalog.apply,
-            self.metrics,
-            self.events,
-            self._random,
-        )
+    async def _serve_peers(self, host: str, port: int) -> None:
+        listener = trio.SocketListener(await open_listener(host, port))
+        await trio.serve_listeners(self._relay.serve_stream, [listener])
 
     def _get_limits(self) -> CallerLimits:
         configuration = self.catalog.configuration
         return configuration.limits if configuration else CallerLimits()
 
     def _refresh_ages(self) -> None:
-        now = trio.current_time()
-        for feed in self._feeds:
-            if feed.confirmed_at is not None:
-                self.metrics.set_age(feed.collection.kind.value, now - feed.confirmed_at)
+        for kind in FOLLOWED_KINDS:
+            age_s = self._beliefs.get_age(kind)
+            if age_s is not None:
+                self.metrics.set_age(kind.value, age_s)
 
     async def _keep_up(self) -> None:
         while True:
@@ -161,6 +164,7 @@
         """Register this VM, and learn now and then how many there are."""
         settings = self._settings
         is_registered = False
+        started_at = trio.current_time()
         while True:
             try:
                 if not is_registered:
@@ -168,11 +172,13 @@
                     await self._adapter.store.create(ObjectKind.MEMBERS, settings.vm, spec)
                     is_registered = True
                 listing = await self._adapter.store.list(ObjectKind.MEMBERS, allow_stale=True)
-                changes = self._collections[ObjectKind.MEMBERS].replace(listing)
+                changes = self._members.replace(listing)
                 self.catalog.apply(ObjectKind.MEMBERS, changes, False)
             except StoreError as error:
                 self.events.note("members_unknown", cause=error.cause)
-            await trio.sleep(MEMBERS_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
+            is_first = trio.current_time() - started_at < MEMBERS_FIRST_S
+            pause_s = MEMBERS_FIRST_S if is_first else MEMBERS_INTERVAL_S
+            await trio.sleep(pause_s * (0.8 + 0.4 * self._random.random()))
 
     async def _stop(self) -> None:
         """Lose readiness, finish requests, and return when none is left."""
--- /dev/null
+++ b/libs/relay/src/zinnia_relay/beliefs.py
@@ -0,0 +1,111 @@
+"""The collections that a VM shares with its peers, with the age of what it knows."""
+
+from collections.abc import Callable
+
+import trio
+
+from zinnia_catalog.collections import Collection
+from zinnia_catalog.objects import Change, ObjectKind
+from zinnia_relay.messages import Follow, KindUpdate, Update, apply_update, make_update
+
+# The entries of living replicas may have lapsed while the store was away within this time.
+OUTAGE_MEMORY_S = 5.0
+
+Applier = Callable[[ObjectKind, tuple[Change, ...], bool], None]
+
+
+class Beliefs:
+    """What this VM knows of each kind, and how recently that was confirmed.
+
+    Parameters
+    ----------
+    kinds : tuple[ObjectKind, ...]
+        The kinds that are followed.
+    apply : Callable
+        Told of changes, and whether the store was away shortly before.
+    """
+
+    def __init__(self, kinds: tuple[ObjectKind, ...], apply: Applier) -> None:
+        self.collections = {kind: Collection(kind) for kind in kinds}
+        self._apply = apply
+        self._confirmed_at: dict[ObjectKind, float] = {}
+        self._failed_at: dict[ObjectKind, float] = {}
+        self._news = trio.Event()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every kind is known."""
+        return all(collection.is_known for collection in self.collections.values())
+
+    def get_age(self, kind: ObjectKind) -> float | None:
+        """Return the seconds since a kind was last confirmed, None if it never was."""
+        confirmed_at = self._confirmed_at.get(kind)
+        return None if confirmed_at is None else trio.current_time() - confirmed_at
+
+    def confirm(self, kind: ObjectKind, changes: tuple[Change, ...], age_s: float = 0.0) -> None:
+        """Note that a kind is known as of ``age_s`` seconds ago, and apply what changed."""
+        confirmed_at = trio.current_time() - age_s
+        self._confirmed_at[kind] = max(confirmed_at, self._confirmed_at.get(kind, confirmed_at))
+        if changes:
+            self._apply(kind, changes, self._was_away(kind))
+            self._news.set()
+            self._news = trio.Event()
+
+    def note_failure(self, kind: ObjectKind, age_s: float = 0.0) -> None:
+        """Note that the store did not serve a call for a kind ``age_s`` seconds ago."""
+        failed_at = trio.current_time() - age_s
+        self._failed_at[kind] = max(failed_at, self._failed_at.get(kind, failed_at))
+
+    def is_fresh(self, limits: dict[ObjectKind, float]) -> bool:
+        """Whether every kind was confirmed within its limit in seconds."""
+        ages = {kind: self.get_age(kind) for kind in limits}
+        return all(age is not None and age <= limits[kind] for kind, age in ages.items())
+
+    def make_follow(self, vm: str, wait_s: float) -> Follow:
+        """Return a request for news."""
+        revisions = {kind.value: item.revision for kind, item in self.collections.items()}
+        return Follow(vm, revisions, int(wait_s * 1000))
+
+    async def answer(self, vm: str, follow: Follow) -> Update:
+        """Return news for a peer, as soon as there is some."""
+        with trio.move_on_after(follow.wait_ms / 1000):
+            while not self._has_news(follow):
+                await self._news.wait()
+        return Update(vm, [self._make_update(kind, follow) for kind in self.collections])
+
+    def take(self, update: Update) -> None:
+        """Take a peer's news."""
+        for row in update.kinds:
+            kind = _find_kind(row.kind)
+            if kind is None or kind not in self.collections or row.age_ms < 0:
+                continue
+            if row.outage_age_ms >= 0:
+                self.note_failure(kind, row.outage_age_ms / 1000)
+            changes = apply_update(self.collections[kind], row)
+            if row.revision >= self.collections[kind].revision:
+                self.confirm(kind, changes, row.age_ms / 1000)
+
+    def _has_news(self, follow: Follow) -> bool:
+        return any(
+            collection.revision > follow.revisions.get(kind.value, 0) and collection.is_known
+            for kind, collection in self.collections.items()
+        )
+
+    def _make_update(self, kind: ObjectKind, follow: Follow) -> KindUpdate:
+        age_s = self.get_age(kind)
+        failed_at = self._failed_at.get(kind)
+        outage_ms = -1 if failed_at is None else int((trio.current_time() - failed_at) * 1000)
+        age_ms = -1 if age_s is None else int(age_s * 1000)
+        revision = follow.revisions.get(kind.value, 0)
+        return make_update(self.collections[kind], revision, age_ms, outage_ms)
+
+    def _was_away(self, kind: ObjectKind) -> bool:
+        failed_at = self._failed_at.get(kind)
+        return failed_at is not None and trio.current_time() - failed_at < OUTAGE_MEMORY_S
+
+
+def _find_kind(word: str) -> ObjectKind | None:
+    try:
+        return ObjectKind(word)
+    except ValueError:
+        return None
--- /dev/null
+++ b/libs/relay/src/zinnia_relay/messages.py
@@ -0,0 +1,171 @@
+"""Messages between VMs, encoded with thrift's compact protocol."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from thrift.protocol.TBase import TBase
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.Thrift import TType
+from thrift.transport.TTransport import TMemoryBuffer
+
+from zinnia_catalog.collections import Collection
+from zinnia_catalog.objects import Change, Changes, Listing, StoredObject
+
+
+class ObjectRecord(TBase):
+    """One object with its documents as JSON, or the name of a removed one."""
+
+    thrift_spec = (
+        None,
+        (1, TType.STRING, "name", "UTF8", None),
+        (2, TType.I64, "revision", None, None),
+        (3, TType.STRING, "spec", "BINARY", None),
+        (4, TType.STRING, "status", "BINARY", None),
+        (5, TType.BOOL, "is_deleted", None, None),
+    )
+
+    def __init__(
+        self,
+        name: str = "",
+        revision: int = 0,
+        spec: bytes = b"null",
+        status: bytes = b"null",
+        is_deleted: bool = False,
+    ) -> None:
+        self.name = name
+        self.revision = revision
+        self.spec = spec
+        self.status = status
+        self.is_deleted = is_deleted
+
+
+class KindUpdate(TBase):
+    """News of one kind: all objects if ``is_listing``, else the changes up to ``revision``.
+
+    ``age_ms`` is the time since the sender last heard of this kind from the store, and
+    ``outage_age_ms`` the time since a call for it failed, -1 if none did.
+    """
+
+    thrift_spec = (
+        None,
+        (1, TType.STRING, "kind", "UTF8", None),
+        (2, TType.I64, "revision", None, None),
+        (3, TType.BOOL, "is_listing", None, None),
+        (
+            4,
+            TType.LIST,
+            "records",
+            (TType.STRUCT, (ObjectRecord, ObjectRecord.thrift_spec), False),
+            None,
+        ),
+        (5, TType.I64, "age_ms", None, None),
+        (6, TType.I64, "outage_age_ms", None, None),
+    )
+
+    def __init__(
+        self,
+        kind: str = "",
+        revision: int = 0,
+        is_listing: bool = False,
+        records: list[ObjectRecord] | None = None,
+        age_ms: int = 0,
+        outage_age_ms: int = -1,
+    ) -> None:
+        self.kind = kind
+        self.revision = revision
+        self.is_listing = is_listing
+        self.records = records or []
+        self.age_ms = age_ms
+        self.outage_age_ms = outage_age_ms
+
+
+class Follow(TBase):
+    """Asks for news after the given revisions, at the latest after ``wait_ms``."""
+
+    thrift_spec = (
+        None,
+        (1, TType.STRING, "vm", "UTF8", None),
+        (2, TType.MAP, "revisions", (TType.STRING, "UTF8", TType.I64, None, False), None),
+        (3, TType.I64, "wait_ms", None, None),
+    )
+
+    def __init__(
+        self, vm: str = "", revisions: dict[str, int] | None = None, wait_ms: int = 0
+    ) -> None:
+        self.vm = vm
+        self.revisions = revisions or {}
+        self.wait_ms = wait_ms
+
+
+class Update(TBase):
+    """The reply to ``Follow``."""
+
+    thrift_spec = (
+        None,
+        (1, TType.STRING, "vm", "UTF8", None),
+        (2, TType.LIST, "kinds", (TType.STRUCT, (KindUpdate, KindUpdate.thrift_spec), False), None),
+    )
+
+    def __init__(self, vm: str = "", kinds: list[KindUpdate] | None = None) -> None:
+        self.vm = vm
+        self.kinds = kinds or []
+
+
+def encode(message: TBase) -> bytes:
+    """Return a message's bytes."""
+    buffer = TMemoryBuffer()
+    message.write(TCompactProtocol(buffer))
+    return buffer.getvalue()
+
+
+def decode(kind: type[TBase], data: bytes) -> Any:
+    """Return a message; raises any error of the codec for bytes that are none."""
+    message = kind()
+    message.read(TCompactProtocol(TMemoryBuffer(data)))
+    return message
+
+
+def make_update(
+    collection: Collection, revision: int, age_ms: int, outage_age_ms: int
+) -> KindUpdate:
+    """Return what has changed in a collection after a revision."""
+    kind = collection.kind.value
+    if revision >= collection.revision:
+        return KindUpdate(kind, collection.revision, False, [], age_ms, outage_age_ms)
+    changes = collection.find_changes(revision)
+    is_listing = changes is None
+    if is_listing:
+        rows = [Change(item, False) for item in collection.make_listing().objects]
+    else:
+        rows = list(changes.changes)
+    records = [_make_record(change) for change in rows]
+    return KindUpdate(kind, collection.revision, is_listing, records, age_ms, outage_age_ms)
+
+
+def apply_update(collection: Collection, update: KindUpdate) -> tuple[Change, ...]:
+    """Bring a collection up to date; return what is new."""
+    changes = tuple(_read_records(update.records))
+    if update.is_listing:
+        listing = Listing(tuple(change.object for change in changes), update.revision)
+        return collection.replace(listing)
+    return collection.advance(Changes(changes, update.revision))
+
+
+def _make_record(change: Change) -> ObjectRecord:
+    item = change.object
+    if change.is_deleted:
+        return ObjectRecord(item.name, item.revision, is_deleted=True)
+    return ObjectRecord(item.name, item.revision, _dump(item.spec), _dump(item.status))
+
+
+def _read_records(records: Iterable[ObjectRecord]) -> Iterable[Change]:
+    for record in records:
+        spec, status = json.loads(record.spec), json.loads(record.status)
+        yield Change(
+            StoredObject(record.name, record.revision, spec, status), bool(record.is_deleted)
+        )
+
+
+def _dump(document: Any) -> bytes:
+    return json.dumps(document, separators=(",", ":")).encode()
