Skip late answers on a connection; end version moves in time; read settings again

Late answers to earlier requests were given up with their connection when they came in one piece with the right one, which cost a request that may run once its answer. Unit tests for the libraries catalog and sending.

--- /dev/null
+++ b/libs/catalog/tests/test_catalog.py
@@ -0,0 +1,99 @@
+import unittest
+
+from zinnia_catalog.catalog import REANNOUNCE_S, Catalog, CatalogListener, ObjectDecoder
+from zinnia_catalog.objects import Change, ObjectKind, StoredObject
+from zinnia_catalog.replicas import ReplicaEntry
+from zinnia_catalog.routes import CallerLimits, Configuration
+
+
+class FakeDecoder(ObjectDecoder):
+    def decode_configuration(self, item):
+        return Configuration(item.spec, (), {}, CallerLimits())
+
+    def decode_replica(self, item):
+        if item.spec is None:
+            return None
+        return ReplicaEntry(item.name, "s", "h", 1, "dc", "v1", 2, item.spec == "draining", 0.0, 0)
+
+    def decode_release(self, item):
+        return None
+
+
+class FakeListener(CatalogListener):
+    def __init__(self):
+        self.events = []
+
+    def adopt_configuration(self, configuration):
+        self.events.append(("configuration", configuration.version))
+
+    def update_replica(self, entry, was_out):
+        self.events.append(("replica", entry.id))
+
+    def remove_replica(self, replica, reason):
+        self.events.append(("removed", replica))
+
+    def change_data_centre(self, data_centre, is_out):
+        self.events.append(("data_centre", data_centre, is_out))
+
+    def change_release(self, service, order):
+        self.events.append(("release", service))
+
+
+class CatalogTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.listener = FakeListener()
+        self.catalog = Catalog(FakeDecoder(), self.listener, lambda: self.now)
+
+    def write(self, kind, name, spec, after_outage=False):
+        change = Change(StoredObject(name, 1, spec), False)
+        self.catalog.apply(kind, (change,), after_outage)
+
+    def remove(self, name, after_outage):
+        change = Change(StoredObject(name, 2, None), True)
+        self.catalog.apply(ObjectKind.REPLICAS, (change,), after_outage)
+
+    def test_older_configuration_is_never_adopted(self):
+        """Guards against a configuration that reverts."""
+        self.write(ObjectKind.CONFIGURATION, "main", 7)
+        self.write(ObjectKind.CONFIGURATION, "main", 6)
+        self.assertEqual([("configuration", 7)], self.listener.events)
+
+    def test_entry_that_lapsed_in_an_outage_stays_until_it_could_be_back(self):
+        """Guards against dropping living replicas whose entries lapsed while the store was away."""
+        self.write(ObjectKind.REPLICAS, "r", "ready")
+        self.remove("r", after_outage=True)
+        self.now = REANNOUNCE_S - 0.1
+        self.catalog.expire_lapsed()
+        self.assertIn("r", self.catalog.replicas)
+        self.now = REANNOUNCE_S
+        self.catalog.expire_lapsed()
+        self.assertNotIn("r", self.catalog.replicas)
+
+    def test_entry_that_is_written_again_after_an_outage_stays(self):
+        """Guards against removing a replica that announced itself again in time."""
+        self.write(ObjectKind.REPLICAS, "r", "ready")
+        self.remove("r", after_outage=True)
+        self.write(ObjectKind.REPLICAS, "r", "ready")
+        self.now = REANNOUNCE_S * 2
+        self.catalog.expire_lapsed()
+        self.assertIn("r", self.catalog.replicas)
+
+    def test_entry_that_is_removed_while_the_store_is_stable_is_gone_at_once(self):
+        """Guards against work for a replica that has left."""
+        self.write(ObjectKind.REPLICAS, "r", "ready")
+        self.remove("r", after_outage=False)
+        self.assertEqual(("removed", "r"), self.listener.events[-1])
+
+    def test_draining_entry_that_lapses_in_an_outage_is_gone_at_once(self):
+        """Guards against keeping a replica that had said it leaves."""
+        self.write(ObjectKind.REPLICAS, "r", "draining")
+        self.remove("r", after_outage=True)
+        self.assertNotIn("r", self.catalog.replicas)
+
+    def test_unreadable_entry_names_no_replica_and_leaves_the_others(self):
+        """Guards against one foreign entry that takes all replicas away."""
+        self.write(ObjectKind.REPLICAS, "a", "ready")
+        self.write(ObjectKind.REPLICAS, "b", "ready")
+        self.write(ObjectKind.REPLICAS, "b", None)
+        self.assertEqual({"a"}, set(self.catalog.replicas))
--- /dev/null
+++ b/libs/catalog/tests/test_collections.py
@@ -0,0 +1,63 @@
+import unittest
+
+from zinnia_catalog.collections import HISTORY_CHANGES, Collection
+from zinnia_catalog.objects import Change, Changes, Listing, ObjectKind, StoredObject
+
+
+def make_object(name, revision, spec=None):
+    return StoredObject(name, revision, spec)
+
+
+def make_collection(*objects, revision=10):
+    collection = Collection(ObjectKind.REPLICAS)
+    collection.replace(Listing(tuple(objects), revision))
+    return collection
+
+
+class CollectionTest(unittest.TestCase):
+    def test_listing_reports_what_is_new_changed_and_gone(self):
+        """Guards against a replica that stays known after a listing without it."""
+        collection = make_collection(make_object("a", 1), make_object("b", 2))
+        changes = collection.replace(Listing((make_object("b", 12), make_object("c", 11)), 20))
+        found = [(change.object.name, change.is_deleted) for change in changes]
+        self.assertEqual([("a", True), ("b", False), ("c", False)], found)
+
+    def test_older_listing_changes_nothing(self):
+        """Guards against a stale read that brings back an older state."""
+        collection = make_collection(make_object("a", 15), revision=20)
+        self.assertEqual((), collection.replace(Listing((), 19)))
+        self.assertIn("a", collection.objects)
+
+    def test_removal_that_is_older_than_the_object_is_ignored(self):
+        """Guards against a peer's late news that removes an entry which was written again."""
+        collection = make_collection(make_object("a", 15), revision=15)
+        news = Changes(
+            (Change(make_object("a", 12), True), Change(make_object("a", 15), False)), 15
+        )
+        self.assertEqual((), collection.advance(news))
+        self.assertIn("a", collection.objects)
+
+    def test_removed_and_written_again_in_one_batch_stays(self):
+        """Guards against losing a replica whose removal and return arrive together."""
+        collection = make_collection(make_object("a", 5))
+        news = Changes(
+            (Change(make_object("a", 11), True), Change(make_object("a", 12), False)), 12
+        )
+        self.assertEqual(2, len(collection.advance(news)))
+        self.assertEqual(12, collection.objects["a"].revision)
+
+    def test_changes_since_a_revision_are_kept_for_peers(self):
+        """Guards against a full listing for each follower after each change."""
+        collection = make_collection(make_object("a", 5))
+        collection.advance(Changes((Change(make_object("b", 11), False),), 11))
+        collection.advance(Changes((Change(make_object("c", 12), False),), 12))
+        names = [change.object.name for change in collection.find_changes(11).changes]
+        self.assertEqual(["c"], names)
+
+    def test_revision_before_the_history_needs_a_listing(self):
+        """Guards against a follower that misses changes which are no longer kept."""
+        collection = make_collection(revision=10)
+        self.assertIsNone(collection.find_changes(9))
+        for revision in range(11, 11 + HISTORY_CHANGES + 1):
+            collection.advance(Changes((Change(make_object("a", revision), False),), revision))
+        self.assertIsNone(collection.find_changes(10))
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -1,7 +1,8 @@
 """One entry VM: servers, feeds and sending, from start to graceful stop."""
 
 import signal
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, fields, replace
 from random import Random
 
 import trio
@@ -15,9 +16,10 @@
 from zinnia_entry.messages import CallerProtocol
 from zinnia_entry.metrics import Metrics
 from zinnia_entry.probes import MetricsHandler, ReadinessHandler
+from zinnia_entry.releases import ReleaseDriver
 from zinnia_entry.server import CallerServer, open_listener
-from zinnia_entry.settings import EntrySettings
-from zinnia_entry.sources import FOLLOWED_KINDS, SourceController
+from zinnia_entry.settings import EntrySettings, SettingsError
+from zinnia_entry.sources import FOLLOWED_KINDS, SourceController, rank_members
 from zinnia_relay.beliefs import Beliefs
 from zinnia_relay.server import RelayServer
 from zinnia_sending.budgets import RetryBudget
@@ -26,6 +28,8 @@
 from zinnia_sending.protocol import ReplicaProtocol
 
 UPKEEP_INTERVAL_S = 0.5
+# The settings file may change without a signal.
+RELOAD_INTERVAL_S = 5.0
 # After a stop signal, requests are still taken while the balancer notices the lost readiness.
 STOP_ACCEPT_S = 3.0
 # Time before the end of the grace period at which the process ends in any case.
@@ -54,14 +58,24 @@
         Addresses and bounds.
     adapter : Adapter
         Translates between the tier and the platform.
+    load_settings : Callable[[], EntrySettings], optional
+        Reads the settings again; raises SettingsError if they are wrong.
     """
 
     def __init__(
-        self, settings: EntrySettings, adapter: Adapter, metrics: Metrics, events: EventLog
+        self,
+        settings: EntrySettings,
+        adapter: Adapter,
+        metrics: Metrics,
+        events: EventLog,
+        load_settings: Callable[[], EntrySettings] | None = None,
     ) -> None:
         self.metrics = metrics
         self.events = events
         self._settings = settings
+        self._load_settings = load_settings or (lambda: settings)
+        self._loaded = settings
+        self._is_file_bad = False
         self._adapter = adapter
         self._random = Random()
         self._fleet = Fleet(settings.data_centre, self.count_vms, events, self._random)
@@ -78,6 +92,9 @@
             events,
             self._random,
         )
+        self._releases = ReleaseDriver(
+            self._fleet.versions, adapter.store, self.get_rank, events, trio.current_time
+        )
         self._relay = RelayServer(settings.vm, self._beliefs)
         self._is_stopping = False
         self._servers: list[CallerServer] = []
@@ -86,6 +103,11 @@
         """Return how many VMs may be sending, at least as many as the settings expect."""
         return max(self._settings.expected_vms, len(self.catalog.members))
 
+    def get_rank(self) -> int:
+        """Return the place of this VM in the order that all VMs know, 0 for the first."""
+        names = set(self.catalog.members) | {self._settings.vm}
+        return rank_members(names).index(self._settings.vm)
+
     @property
     def is_ready(self) -> bool:
         """Whether this VM takes new connections."""
@@ -102,11 +124,36 @@
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
-                    self.events.note("reload_requested")
+                    self.reload("signal")
                 await self._stop()
                 nursery.cancel_scope.cancel()
         self.events.note("stop")
 
+    def reload(self, cause: str) -> None:
+        """Read the settings again; wrong ones change nothing, and addresses need a restart."""
+        try:
+            settings = self._load_settings()
+        except SettingsError as error:
+            self.events.note("reload_failed", reason=cause, cause=str(error))
+            return
+        self._loaded = settings
+        self._is_file_bad = False
+        if settings == self._settings:
+            self.events.note("reload", reason=cause, changed=[])
+            return
+        changed = find_changes(self._settings, settings)
+        self._settings = replace(
+            settings,
+            callers=self._settings.callers,
+            readiness=self._settings.readiness,
+            peers=self._settings.peers,
+            metrics=self._settings.metrics,
+            store=self._settings.store,
+        )
+        self._budget.bounds = settings.retry_bounds
+        self._sources.seeds = settings.seeds
+        self.events.note("reload", reason=cause, changed=changed)
+
     def _start_all(self, nursery: trio.Nursery) -> None:
         settings = self._settings
         dispatcher = Dispatcher(
@@ -136,6 +183,7 @@
         if settings.peers is not None:
             nursery.start_soon(self._serve_peers, settings.peers.host, settings.peers.port)
         nursery.start_soon(self._sources.run)
+        nursery.start_soon(self._releases.run)
         nursery.start_soon(self._keep_up)
         nursery.start_soon(self._follow_members)
         nursery.start_soon(self.events.run)
@@ -154,11 +202,24 @@
             if age_s is not None:
                 self.metrics.set_age(kind.value, age_s)
 
+    def _reload_if_changed(self) -> None:
+        try:
+            has_changed = self._load_settings() != self._loaded
+        except SettingsError:
+            has_changed = not self._is_file_bad
+            self._is_file_bad = True
+        if has_changed:
+            self.reload("file")
+
     async def _keep_up(self) -> None:
+        reload_at = trio.current_time() + RELOAD_INTERVAL_S
         while True:
             await trio.sleep(UPKEEP_INTERVAL_S)
             self._fleet.discard_expired(trio.current_time())
             self.catalog.expire_lapsed()
+            if trio.current_time() >= reload_at:
+                reload_at = trio.current_time() + RELOAD_INTERVAL_S
+                self._reload_if_changed()
 
     async def _follow_members(self) -> None:
         """Register this VM, and learn now and then how many there are."""
@@ -193,3 +254,8 @@
                 server.close_idle()
                 await server.wait_closed()
         self.events.note("stopped_serving", after_s=round(trio.current_time() - started, 2))
+
+
+def find_changes(old: EntrySettings, new: EntrySettings) -> list[str]:
+    """Return the names of the settings that differ."""
+    return [row.name for row in fields(old) if getattr(old, row.name) != getattr(new, row.name)]
--- /dev/null
+++ b/libs/entry/src/zinnia_entry/releases.py
@@ -0,0 +1,82 @@
+"""Records how version moves stand and ends each of them in time."""
+
+from collections.abc import Callable
+
+import trio
+
+from zinnia_catalog.objects import ObjectStore, StoreError, WriteConflictError
+from zinnia_catalog.releases import ReleaseState
+from zinnia_sending.events import EventSink
+from zinnia_sending.versions import VersionMove, VersionShares
+
+REVIEW_INTERVAL_S = 0.5
+# A VM waits this long per rank before it writes, so that usually only the first one does.
+RANK_DELAY_S = 0.4
+MAX_RANK_DELAY_S = 2.0
+# A move without evidence against it is done at this part of the time that its order gives it.
+DONE_PART = 0.75
+
+
+class ReleaseDriver:
+    """Writes the states of version moves under the condition that nobody else has.
+
+    Parameters
+    ----------
+    get_rank : Callable[[], int]
+        Place of this VM in the order that all VMs know.
+    """
+
+    def __init__(
+        self,
+        versions: VersionShares,
+        store: ObjectStore,
+        get_rank: Callable[[], int],
+        events: EventSink,
+        clock: Callable[[], float],
+    ) -> None:
+        self._versions = versions
+        self._store = store
+        self._get_rank = get_rank
+        self._events = events
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Review all moves until cancelled."""
+        while True:
+            await trio.sleep(REVIEW_INTERVAL_S)
+            for move in self._versions.list_moves():
+                state = self.decide(move)
+                if state is not None:
+                    await self._write(move, state)
+
+    def decide(self, move: VersionMove) -> ReleaseState | None:
+        """Return the state to write for a move now, or None."""
+        if not move.order.is_open:
+            return None
+        if move.is_rejected:
+            return ReleaseState.TAKEN_BACK
+        elapsed_s = self._clock() - move.started_at
+        delay_s = min(MAX_RANK_DELAY_S, self._get_rank() * RANK_DELAY_S)
+        if elapsed_s >= DONE_PART * move.order.duration_s + delay_s:
+            return ReleaseState.DONE
+        if move.order.state is ReleaseState.ORDERED and elapsed_s >= delay_s:
+            return ReleaseState.RUNNING
+        return None
+
+    async def _write(self, move: VersionMove, state: ReleaseState) -> None:
+        order = move.order
+        try:
+            await self._store.write_release(order, state)
+        except WriteConflictError:
+            self._events.note("release_conflict", service=order.service, state=state.value)
+        except StoreError as error:
+            self._events.note("release_unwritten", service=order.service, cause=error.cause)
+        else:
+            self._events.note(
+                "release_written",
+                service=order.service,
+                target=order.target,
+                state=state.value,
+                good=move.good,
+                bad=move.bad,
+            )
--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -57,6 +57,7 @@
         random: Random,
     ) -> None:
         self._settings = settings
+        self.seeds = settings.seeds
         self._beliefs = beliefs
         self._store = store
         self._get_members = get_members
@@ -162,7 +163,7 @@
 
     def _list_peers(self) -> list[Address]:
         addresses = {parse_address(text) for text in self._get_members().values()}
-        addresses.update(self._settings.seeds)
+        addresses.update(self.seeds)
         addresses.discard(self._settings.peers)
         return sorted(addresses, key=str)
 
--- a/libs/sending/src/zinnia_sending/budgets.py
+++ b/libs/sending/src/zinnia_sending/budgets.py
@@ -32,20 +32,20 @@
     """
 
     def __init__(self, bounds: RetryBounds, count_vms: Callable[[], int]) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._count_vms = count_vms
         self._tokens: dict[ServiceName, float] = {}
 
     @property
     def capacity(self) -> float:
         """Tokens that one service can save up on this VM."""
-        return max(1.0, self._bounds.slack * USED_PART / max(1, self._count_vms()))
+        return max(1.0, self.bounds.slack * USED_PART / max(1, self._count_vms()))
 
     def earn(self, service: ServiceName) -> None:
         """Count one request for a service."""
         capacity = self.capacity
         tokens = self._tokens.get(service, capacity)
-        self._tokens[service] = min(capacity, tokens + self._bounds.ratio * USED_PART)
+        self._tokens[service] = min(capacity, tokens + self.bounds.ratio * USED_PART)
 
     def take(self, service: ServiceName, reserve: float = 0.0) -> bool:
         """Take a token unless fewer than ``reserve`` (0 to 1 of the capacity) would remain."""
--- a/libs/sending/src/zinnia_sending/connections.py
+++ b/libs/sending/src/zinnia_sending/connections.py
@@ -86,10 +86,6 @@
             parser.keeps_alive and not parser.has_extra,
         )
 
-    async def receive_next(self, parser: AnswerParser) -> RawAnswer:
-        """Return the next answer on the connection, without sending anything."""
-        return await self.exchange(b"", parser)
-
     async def _send(self, data: bytes) -> None:
         view = memoryview(data)
         while view:
--- a/libs/sending/src/zinnia_sending/parser.py
+++ b/libs/sending/src/zinnia_sending/parser.py
@@ -1,9 +1,15 @@
 """Incremental parser of one replica's answers on a connection, on top of httptools."""
 
+from collections.abc import Callable, Sequence
+
 import httptools
 
 # Answers are held in memory until they are whole.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# Answers to other requests that are skipped before the connection is given up.
+MAX_FOREIGN_ANSWERS = 3
+
+IsOwn = Callable[[int, Sequence[tuple[bytes, bytes]]], bool]
 
 
 class BadAnswerError(Exception):
@@ -11,26 +17,32 @@
 
 
 class AnswerParser:
-    """Parses one answer; anything that follows it on the connection is noted as ``has_extra``.
+    """Parses the answer to one request; late answers to earlier requests before it are skipped.
+
+    Anything that follows the answer on the connection is noted as ``has_extra``.
 
     Parameters
     ----------
     is_head : bool
         Whether the request was HEAD, so that the answer has no body.
+    is_own : Callable[[int, Sequence[tuple[bytes, bytes]]], bool], optional
+        Tells from status and headers whether an answer is the one to this request.
     """
 
-    def __init__(self, is_head: bool = False) -> None:
+    def __init__(self, is_head: bool = False, is_own: IsOwn = lambda status, headers: True) -> None:
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.is_complete = False
         self.has_extra = False
-        self.has_started = False
         self.keeps_alive = False
         self._is_head = is_head
         self._body: list[bytes] = []
         self._size = 0
         self._has_headers = False
         self._is_framed = False
+        self._is_own = is_own
+        self._is_skipping = False
+        self._skipped = 0
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -46,7 +58,6 @@
         BadAnswerError
             The bytes are no answer, or the answer is too large.
         """
-        self.has_started = True
         if self.is_complete:
             self.has_extra = True
             return
@@ -61,7 +72,8 @@
 
     def finish(self) -> bool:
         """Note the end of the connection; return whether the answer is whole."""
-        if not self.is_complete and self._has_headers and not self._is_framed:
+        is_open = self._has_headers and not self._is_framed and not self._is_skipping
+        if not self.is_complete and is_open:
             self.is_complete = True
         return self.is_complete
 
@@ -87,8 +99,9 @@
         self._is_framed = any(
             name in (b"content-length", b"transfer-encoding") for name, _ in self.headers
         )
-        if self._is_head:
-            self._complete()
+        self._is_skipping = self.status >= 200 and not self._is_own(self.status, self.headers)
+        if self._is_head and not self._is_skipping:
+            self.is_complete = True
 
     def on_body(self, data: bytes) -> None:
         """Collect a piece of the body."""
@@ -100,14 +113,16 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Note the end of the answer; an interim answer is dropped."""
+        """Note the end of the answer; interim answers and those to other requests are dropped."""
         if self.is_complete:
             return
-        if self.status < 200:
-            self.headers.clear()
-            self._has_headers = False
+        if self.status >= 200 and not self._is_skipping:
+            self.is_complete = True
             return
-        self._complete()
-
-    def _complete(self) -> None:
-        self.is_complete = True
+        self._skipped += 1
+        if self._skipped > MAX_FOREIGN_ANSWERS:
+            raise BadAnswerError("the replica answers other requests only")
+        self.headers.clear()
+        self._body.clear()
+        self._size = 0
+        self._has_headers = self._is_skipping = False
--- a/libs/sending/src/zinnia_sending/replica.py
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -1,5 +1,7 @@
 """One replica: its entry, its connections, its health and its warm-up."""
 
+from collections.abc import Sequence
+
 import trio
 
 from zinnia_catalog.ids import ReplicaId
@@ -8,7 +10,6 @@
 from zinnia_sending.answers import AnswerFacts, Exchange, ExchangeResult, ReplicaAnswer
 from zinnia_sending.budgets import RateShare
 from zinnia_sending.connections import (
-    Connection,
     ConnectionEndedError,
     ConnectionPool,
     NotConnectedError,
@@ -18,9 +19,6 @@
 from zinnia_sending.parser import AnswerParser, BadAnswerError
 from zinnia_sending.protocol import PreparedRequest, ReplicaProtocol
 
-# Answers to other requests that are skipped before the connection is given up.
-MAX_FOREIGN_ANSWERS = 3
-
 
 class Replica:
     """A replica that may get requests."""
@@ -89,35 +87,18 @@
                 self.pool.put_back(connection, trio.current_time(), None)
                 return _settle(ExchangeResult.NOT_SENT, started, "no time left")
             data = request.render(self.id, remaining_s)
-            raw, facts = await self._receive_own(connection, data, request, protocol)
+            reader = _OwnAnswer(request, protocol)
+            raw = await connection.exchange(data, AnswerParser(request.is_head, reader.is_own))
             is_kept = raw.is_reusable
             if is_kept:
                 self.pool.put_back(connection, trio.current_time(), read_idle_s(raw.headers))
-            return self._judge(raw, facts, started)
+            return self._judge(raw, reader.facts, started)
         except (ConnectionEndedError, BadAnswerError) as error:
             return _settle(ExchangeResult.BROKEN, started, str(error))
         finally:
             if not is_kept:
                 self.pool.discard(connection)
 
-    async def _receive_own(
-        self,
-        connection: Connection,
-        data: bytes,
-        request: PreparedRequest,
-        protocol: ReplicaProtocol,
-    ) -> tuple[RawAnswer, AnswerFacts]:
-        """Return the answer to this request; late answers to earlier ones are skipped."""
-        raw = await connection.exchange(data, AnswerParser(request.is_head))
-        for _ in range(MAX_FOREIGN_ANSWERS):
-            facts = protocol.read_facts(raw.status, raw.headers)
-            if facts.request_id in (b"", request.request_id):
-                return raw, facts
-            if not raw.is_reusable:
-                break
-            raw = await connection.receive_next(AnswerParser(request.is_head))
-        raise BadAnswerError("the answer belongs to another request")
-
     def _judge(self, raw: RawAnswer, facts: AnswerFacts, started: float) -> Exchange:
         if facts.warmup_s:
             self.mark_cold(facts.warmup_s, trio.current_time())
@@ -138,6 +119,20 @@
         return Exchange(ExchangeResult.ANSWERED, duration_s, answer)
 
 
+class _OwnAnswer:
+    """Recognizes the answer to one request and keeps what its headers say."""
+
+    def __init__(self, request: PreparedRequest, protocol: ReplicaProtocol) -> None:
+        self.facts: AnswerFacts | None = None
+        self._request_id = request.request_id
+        self._protocol = protocol
+
+    def is_own(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> bool:
+        """Whether an answer belongs to the request; one that names no request does."""
+        self.facts = self._protocol.read_facts(status, headers)
+        return self.facts.request_id in (b"", self._request_id)
+
+
 def read_idle_s(headers: tuple[tuple[bytes, bytes], ...]) -> float | None:
     """Return the idle timeout of a ``Keep-Alive`` header in seconds, None without one."""
     for name, value in headers:
--- a/libs/sending/src/zinnia_sending/versions.py
+++ b/libs/sending/src/zinnia_sending/versions.py
@@ -1,24 +1,20 @@
 """Version moves: how much a new version gets, and the evidence for and against it."""
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from zinnia_catalog.ids import ServiceName, VersionId
 from zinnia_catalog.releases import ReleaseOrder, ReleaseState
 from zinnia_sending.events import EventSink
 
-# Share of a version's service that it gets before there is evidence for it.
-CANARY_SHARE = 0.04
-# Answers of the new version on this VM before its share grows, or before it can be done.
-ANSWERS_TO_TRUST = 25
-TRUSTED_SHARE = 0.5
+# Share of its service that a new version gets until its move is decided.
+CANARY_SHARE = 0.06
 # Bad answers of the new version on this VM after which it is taken back, and their least part.
-BAD_ANSWERS_TO_REJECT = 4
+BAD_ANSWERS_TO_REJECT = 3
 BAD_PART_TO_REJECT = 0.15
 # Relative latency from which an answer counts as slow.
 SLOW_FACTOR = 3.0
-# The move ends at this part of the time that the order gives it.
-DECIDE_PART = 0.7
+# The bad part of the new version must be this many times that of the others.
+BAD_RATIO_TO_REJECT = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +41,6 @@
     others_good: int = 0
     others_bad: int = 0
     is_rejected: bool = False
-    tested: set[str] = field(default_factory=set)
 
     @property
     def share(self) -> float:
@@ -54,12 +49,7 @@
             return 0.0
         if self.order.state is ReleaseState.DONE:
             return 1.0
-        return TRUSTED_SHARE if self.is_trusted else CANARY_SHARE
-
-    @property
-    def is_trusted(self) -> bool:
-        """Whether enough answers speak for the new version."""
-        return self.good >= ANSWERS_TO_TRUST and not self.looks_bad
+        return CANARY_SHARE
 
     @property
     def looks_bad(self) -> bool:
@@ -69,7 +59,7 @@
             return False
         others = self.others_good + self.others_bad
         other_part = self.others_bad / others if others else 0.0
-        return self.bad / answers > 3 * other_part
+        return self.bad / answers > BAD_RATIO_TO_REJECT * other_part
 
 
 ALLOW_ALL = VersionFilter()
@@ -81,7 +71,6 @@
     def __init__(self, events: EventSink) -> None:
         self._events = events
         self._moves: dict[ServiceName, VersionMove] = {}
-        self.on_verdict: Callable[[], None] = lambda: None
 
     def change_order(self, service: ServiceName, order: ReleaseOrder | None, now: float) -> None:
         """Take a new or changed order; a move that is rejected here stays rejected."""
@@ -138,4 +127,3 @@
             self._events.note(
                 "version_rejected", service=service, version=version, bad=move.bad, good=move.good
             )
-            self.on_verdict()
--- a/libs/sending/src/zinnia_sending/weights.py
+++ b/libs/sending/src/zinnia_sending/weights.py
@@ -10,13 +10,15 @@
     """Smooth weighted round robin: every run of requests is close to the weights."""
 
     def __init__(self) -> None:
+        self._targets: tuple[WeightedService, ...] = ()
         self._credits: dict[ServiceName, float] = {}
 
     def choose(self, targets: Sequence[WeightedService]) -> ServiceName:
         """Return the service of the next request."""
         total = sum(target.weight for target in targets)
-        names = {target.service for target in targets}
-        self._credits = {name: self._credits.get(name, 0.0) for name in names}
+        if self._targets != tuple(targets):
+            self._targets = tuple(targets)
+            self._credits = {target.service: 0.0 for target in targets}
         for target in targets:
             self._credits[target.service] += target.weight
         best = max(targets, key=lambda target: self._credits[target.service]).service
--- /dev/null
+++ b/libs/sending/tests/test_fleet.py
@@ -0,0 +1,115 @@
+import unittest
+
+import trio
+from fakes import make_entry, make_fleet, run_trio
+
+from zinnia_catalog.releases import ReleaseOrder, ReleaseState
+from zinnia_sending.versions import CANARY_SHARE
+
+
+class FleetTest(unittest.TestCase):
+    def count_choices(self, fleet, service="s", count=200, tried=()):
+        async def main():
+            now = trio.current_time()
+            chosen = [fleet.choose(service, tried, now) for _ in range(count)]
+            return [replica.id for replica in chosen if replica is not None]
+
+        return run_trio(main)
+
+    def in_trio(self, function):
+        async def main():
+            return function()
+
+        return run_trio(main)
+
+    def test_replica_of_the_own_data_centre_is_preferred(self):
+        """Guards against bytes between data centres without need."""
+        entries = (make_entry("near"), make_entry("far", data_centre="dc2"))
+        fleet = self.in_trio(lambda: make_fleet(*entries))
+        self.assertEqual({"near"}, set(self.count_choices(fleet)))
+
+    def test_busy_replica_is_passed_over(self):
+        """Load pattern: a burst at one replica."""
+        entries = (make_entry("a"), make_entry("b"))
+        fleet = self.in_trio(lambda: make_fleet(*entries))
+        fleet.get_replica("a").health.outstanding = 2
+        self.assertEqual({"b"}, set(self.count_choices(fleet)))
+
+    def test_slow_replica_is_passed_over_even_in_the_own_data_centre(self):
+        """Load pattern: replicas turn slow for some seconds."""
+        entries = (make_entry("near"), make_entry("far", data_centre="dc2"))
+        fleet = self.in_trio(lambda: make_fleet(*entries))
+        for _ in range(10):
+            fleet.get_replica("near").health.record_answer(8.0, 0.0)
+        self.assertEqual({"far"}, set(self.count_choices(fleet)))
+
+    def test_draining_replica_gets_nothing(self):
+        """Load pattern: replicas are emptied and taken away."""
+        entries = (make_entry("a"), make_entry("b"))
+        fleet = self.in_trio(lambda: make_fleet(*entries))
+        self.in_trio(lambda: fleet.update_replica(make_entry("a", is_draining=True), False))
+        self.assertEqual({"b"}, set(self.count_choices(fleet)))
+
+    def test_data_centre_that_is_out_gets_nothing(self):
+        """Load pattern: a data centre is evacuated, and all of its replicas with it."""
+        entries = (make_entry("a"), make_entry("b", data_centre="dc2"))
+        fleet = self.in_trio(lambda: make_fleet(*entries))
+        self.in_trio(lambda: fleet.change_data_centre("dc1", True))
+        self.assertEqual({"b"}, set(self.count_choices(fleet)))
+        self.in_trio(lambda: fleet.change_data_centre("dc2", True))
+        self.assertEqual([], self.count_choices(fleet))
+
+    def test_new_incarnation_under_a_known_id_starts_with_nothing_known(self):
+        """Load pattern: a replica starts again under its id."""
+        fleet = self.in_trio(lambda: make_fleet(make_entry("a")))
+        known = fleet.get_replica("a")
+        known.health.suspend(0.0)
+        self.in_trio(lambda: fleet.update_replica(make_entry("a", started_ms=2), False))
+        self.assertIsNot(known, fleet.get_replica("a"))
+        self.assertTrue(known.is_gone)
+
+    def test_cold_replica_gets_no_more_than_this_vms_share_of_its_rate(self):
+        """Load pattern: replicas of a data centre come back cold and all VMs turn to them."""
+
+        async def main():
+            entry = make_entry("a", warmup_remaining_s=10.0)
+            fleet = make_fleet(entry, warmup_rate_per_s=10.0, vms=5)
+            sent = 0
+            for _ in range(100):
+                now = trio.current_time()
+                replica = fleet.choose("s", (), now)
+                if replica is not None:
+                    fleet.start_send(replica, now)
+                    sent += 1
+                await trio.sleep(0.05)
+            return sent
+
+        sent = run_trio(main)
+        self.assertLessEqual(sent, 1 + 5 * 10.0 / 5)
+        self.assertGreaterEqual(sent, 5)
+
+    def test_new_version_gets_no_more_than_its_share(self):
+        """Load pattern: a bad version starts beside a good one and answers fast."""
+
+        async def main():
+            entries = (make_entry("old", version="v1"), make_entry("new", version="v2"))
+            fleet = make_fleet(*entries)
+            fleet.get_replica("old").health.record_answer(8.0, 0.0)
+            order = ReleaseOrder("s", "v2", 30.0, ReleaseState.RUNNING, 1)
+            fleet.change_release("s", order)
+            counts = {"old": 0, "new": 0}
+            for _ in range(500):
+                replica = fleet.choose("s", (), trio.current_time())
+                fleet.start_send(replica, trio.current_time())
+                replica.health.outstanding = 0
+                counts[replica.id] += 1
+            return counts
+
+        counts = run_trio(main)
+        self.assertLessEqual(counts["new"], CANARY_SHARE * 500 + 1)
+        self.assertGreater(counts["new"], 0)
+
+    def test_connections_are_shared_between_the_vms(self):
+        """Load pattern: many VMs keep connections to replicas that allow few."""
+        fleet = self.in_trio(lambda: make_fleet(make_entry("a"), vms=6))
+        self.assertLessEqual(fleet.get_replica("a").pool.limit * 6, 25)
--- /dev/null
+++ b/libs/sending/tests/test_replica.py
@@ -0,0 +1,169 @@
+import unittest
+
+import trio
+from fakes import make_entry
+
+from zinnia_sending.answers import AnswerFacts, ExchangeResult
+from zinnia_sending.protocol import PreparedRequest, ReplicaProtocol
+from zinnia_sending.replica import Replica
+
+LIMIT_S = 2.0
+
+
+class PlainRequest(PreparedRequest):
+    request_id = b"own"
+    is_head = False
+
+    def render(self, replica, remaining_s):
+        return b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class PlainProtocol(ReplicaProtocol):
+    def read_facts(self, status, headers):
+        found = dict(headers)
+        return AnswerFacts(
+            found.get(b"id", b""),
+            found.get(b"seal", b""),
+            b"not-run" in found,
+            status == 421,
+            False,
+        )
+
+
+def make_answer(request_id=b"own", body=b"hello", extra=b"", keep=b"5"):
+    lines = [
+        b"HTTP/1.1 200 OK",
+        b"Id: " + request_id,
+        b"Seal: s",
+        b"Keep-Alive: timeout=" + keep,
+        b"Content-Length: %d" % len(body),
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body + extra
+
+
+class ScriptedReplica:
+    """Serves connections; each request gets the next of ``answers``.
+
+    An answer is bytes, ``"close"`` (connection ends), ``"reset"`` or ``"silent"``.
+    """
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.connections = 0
+        self.requests = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        async with stream:
+            while await stream.receive_some(4096):
+                self.requests += 1
+                answer = self.answers.pop(0)
+                if answer == "silent":
+                    await trio.sleep_forever()
+                if answer == "close":
+                    return
+                await stream.send_all(answer)
+                if b"Content-Length" not in answer:
+                    return
+
+
+class ReplicaExchangeTest(unittest.TestCase):
+    def exchange(self, answers, count=1, idempotent=True, pause_s=0.0):
+        """Return the scripted replica and the results of ``count`` exchanges."""
+        scripted = ScriptedReplica(answers)
+        results = []
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, scripted.serve, listeners)
+                replica = Replica(make_entry("r", port=port), 4, trio.current_time())
+                for _ in range(count):
+                    with trio.move_on_after(LIMIT_S):
+                        end_at = trio.current_time() + LIMIT_S
+                        exchange = await replica.exchange(
+                            PlainRequest(), PlainProtocol(), end_at, idempotent
+                        )
+                        results.append(exchange)
+                    await trio.sleep(pause_s)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return scripted, results
+
+    def test_connection_is_reused(self):
+        """Guards against a handshake for each request."""
+        scripted, results = self.exchange([make_answer()] * 3, count=3)
+        self.assertEqual([ExchangeResult.ANSWERED] * 3, [row.result for row in results])
+        self.assertEqual(1, scripted.connections)
+
+    def test_late_answer_to_an_earlier_request_is_skipped(self):
+        """Load pattern: replicas send a second answer where the next one is expected.
+
+        Guards against an answer that belongs to another request.
+        """
+        late = make_answer(b"other", b"wrong")
+        scripted, results = self.exchange([late + make_answer(), make_answer()], count=2)
+        self.assertEqual([b"hello", b"hello"], [row.answer.body for row in results])
+        self.assertEqual(1, scripted.connections)
+
+    def test_connection_with_answers_to_other_requests_only_is_given_up(self):
+        """Guards against waiting for ever on a connection that answers something else."""
+        _, results = self.exchange([make_answer(b"other", b"wrong") * 5])
+        self.assertIs(ExchangeResult.BROKEN, results[0].result)
+
+    def test_connection_with_extra_bytes_is_not_reused(self):
+        """Guards against the next request getting what a replica sent too much."""
+        extra = make_answer(extra=make_answer(b"own", b"again"))
+        scripted, results = self.exchange([extra, make_answer(body=b"second")], count=2)
+        self.assertEqual([b"hello", b"second"], [row.answer.body for row in results])
+        self.assertEqual(2, scripted.connections)
+
+    def test_answer_that_ends_early_is_broken(self):
+        """Guards against passing on a body that was cut off."""
+        scripted, results = self.exchange(["close"])
+        self.assertIs(ExchangeResult.BROKEN, results[0].result)
+
+    def test_answer_without_a_length_is_whole_at_the_end_of_the_connection(self):
+        """Load pattern: answers without a length."""
+        _, results = self.exchange([b"HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nhello"])
+        self.assertEqual(b"hello", results[0].answer.body)
+
+    def test_success_without_a_signature_is_broken(self):
+        """Guards against passing on bytes that are not the replica's answer."""
+        _, results = self.exchange([b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"])
+        self.assertIs(ExchangeResult.BROKEN, results[0].result)
+
+    def test_answer_of_another_replica_marks_this_one_gone(self):
+        """Load pattern: addresses of replicas that ended are used again."""
+        data = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+        _, results = self.exchange([data])
+        self.assertIs(ExchangeResult.WRONG_REPLICA, results[0].result)
+        self.assertFalse(results[0].result.may_have_run)
+
+    def test_rejection_is_known_as_not_run(self):
+        """Load pattern: replicas shed load."""
+        data = b"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        _, results = self.exchange([data])
+        self.assertIs(ExchangeResult.NOT_RUN, results[0].result)
+
+    def test_refused_connection_means_not_sent(self):
+        """Guards against counting a run where nothing was sent."""
+
+        async def main():
+            replica = Replica(make_entry("r", port=1), 4, trio.current_time())
+            end_at = trio.current_time() + LIMIT_S
+            return await replica.exchange(PlainRequest(), PlainProtocol(), end_at, True)
+
+        self.assertIs(ExchangeResult.NOT_SENT, trio.run(main).result)
+
+    def test_connection_is_kept_for_less_than_the_replica_says(self):
+        """Load pattern: replicas close idle connections after a second.
+
+        Guards against a request that crosses the close of an idle connection.
+        """
+        scripted, results = self.exchange(
+            [make_answer(keep=b"1"), make_answer()], count=2, pause_s=0.4
+        )
+        self.assertEqual(2, scripted.connections)
--- /dev/null
+++ b/libs/sending/tests/test_versions.py
@@ -0,0 +1,50 @@
+import unittest
+
+from zinnia_catalog.releases import ReleaseOrder, ReleaseState
+from zinnia_sending.events import NullSink
+from zinnia_sending.versions import VersionShares
+
+
+def make_order(state=ReleaseState.RUNNING):
+    return ReleaseOrder("s", "v2", 30.0, state, 1)
+
+
+class VersionSharesTest(unittest.TestCase):
+    def setUp(self):
+        self.shares = VersionShares(NullSink())
+        self.shares.change_order("s", make_order(), 0.0)
+
+    def record(self, version, good, bad, slowness=1.0):
+        for number in range(good + bad):
+            self.shares.record("s", version, number >= bad, slowness)
+
+    def test_version_whose_answers_fail_is_rejected(self):
+        """Load pattern: a new version fails part of its requests."""
+        self.record("v1", 200, 0)
+        self.record("v2", 10, 4)
+        self.assertTrue(self.shares.list_moves()[0].is_rejected)
+        self.assertFalse(self.shares.get_filter("s").allows("v2"))
+
+    def test_version_that_is_slower_is_rejected(self):
+        """Load pattern: a new version is several times slower."""
+        self.record("v1", 200, 0)
+        self.record("v2", 6, 0, slowness=5.0)
+        self.assertTrue(self.shares.list_moves()[0].is_rejected)
+
+    def test_faults_that_all_versions_show_reject_none(self):
+        """Load pattern: answers of all replicas are lost for some seconds."""
+        self.record("v1", 60, 40)
+        self.record("v2", 6, 4)
+        self.assertFalse(self.shares.list_moves()[0].is_rejected)
+
+    def test_rejected_version_stays_rejected_when_the_order_is_told_again(self):
+        """Guards against an older message that undoes a verdict."""
+        self.record("v1", 200, 0)
+        self.record("v2", 0, 5)
+        self.shares.change_order("s", make_order(), 5.0)
+        self.assertTrue(self.shares.list_moves()[0].is_rejected)
+
+    def test_done_version_gets_everything(self):
+        """Guards against a share that stays small after the move is done."""
+        self.shares.change_order("s", make_order(ReleaseState.DONE), 5.0)
+        self.assertTrue(self.shares.get_filter("s").allows("v2"))
