--- a/libs/sending/src/zinnia_sending/dispatcher.py
+++ b/libs/sending/src/zinnia_sending/dispatcher.py
@@ -42,7 +42,8 @@
 
     def start(self, attempt: Attempt) -> None:
         """Start to send; the attempt is settled later."""
-        self._fleet.start_send(attempt.replica, trio.current_time())
+        usual_s = attempt.request.latency.median_s
+        self._fleet.start_send(attempt.replica, id(attempt), usual_s, trio.current_time())
         self._counters.count_send(attempt.reason)
         attempt.scope = trio.CancelScope(deadline=attempt.request.end_at)
         self._nursery.start_soon(self._carry_out, attempt)
@@ -74,7 +75,7 @@
     def _record(self, attempt: Attempt, exchange: Exchange) -> None:
         now = trio.current_time()
         replica, latency = attempt.replica, attempt.request.latency
-        replica.health.outstanding -= 1
+        replica.health.finish(id(attempt))
         slowness = exchange.duration_s / latency.median_s
         self._counters.count_result(exchange.result, exchange.duration_s)
         result = exchange.result
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -187,12 +187,12 @@
             return usable[0]
         return min(usable, key=lambda replica: self._score(replica, now))
 
-    def start_send(self, replica: Replica, now: float) -> None:
-        """Count a request that is about to be sent to a replica."""
+    def start_send(self, replica: Replica, key: int, usual_s: float, now: float) -> None:
+        """Note a request that is about to be sent and how long it usually takes, in seconds."""
         health = replica.health
         if health.get_condition(now) is Condition.TRIAL_DUE:
             health.start_trial(now)
-        health.outstanding += 1
+        health.begin(key, usual_s, now)
         limits = self._limits.get(replica.entry.service)
         replica.take_warmup(limits, self._warmup_factor(), now)
         self.versions.count_send(replica.entry.service, replica.entry.version)
--- a/libs/sending/src/zinnia_sending/health.py
+++ b/libs/sending/src/zinnia_sending/health.py
@@ -8,7 +8,7 @@
 # A single sample counts as at most this many times the usual latency.
 MAX_SLOWNESS = 12.0
 # Without new samples, half of what speaks against a replica is forgotten in this time, in seconds.
-FORGET_HALF_LIFE_S = 1.5
+FORGET_HALF_LIFE_S = 2.5
 # Failures in a row after which a replica gets no work but single trials.
 FAILURES_TO_SUSPEND = 2
 FIRST_SUSPENSION_S = 0.4
@@ -32,16 +32,16 @@
 
     __slots__ = (
         "_failures",
+        "_in_flight",
         "_rejections",
         "_sampled_at",
         "_slowness",
         "_suspended_until",
         "_suspension_s",
-        "outstanding",
     )
 
     def __init__(self, now: float) -> None:
-        self.outstanding = 0
+        self._in_flight: dict[int, tuple[float, float]] = {}
         self._slowness = 1.0
         self._rejections = 0.0
         self._sampled_at = now
@@ -49,9 +49,29 @@
         self._suspended_until = 0.0
         self._suspension_s = FIRST_SUSPENSION_S
 
+    @property
+    def outstanding(self) -> int:
+        """Requests that have not ended."""
+        return len(self._in_flight)
+
+    def begin(self, key: int, usual_s: float, now: float) -> None:
+        """Note a request that starts and how long one of its route usually takes, in seconds."""
+        self._in_flight[key] = (now, usual_s)
+
+    def finish(self, key: int) -> None:
+        """Note that a request has ended."""
+        self._in_flight.pop(key, None)
+
     def get_slowness(self, now: float) -> float:
-        """Return the relative latency; old samples count less and less."""
-        return 1.0 + (self._slowness - 1.0) * self._fade(now)
+        """Return the relative latency; old samples count less and less.
+
+        A request that is still in flight shows how slow the replica is at least.
+        """
+        known = self._recall_slowness(now)
+        if not self._in_flight:
+            return known
+        started_at, usual_s = next(iter(self._in_flight.values()))
+        return max(known, min(MAX_SLOWNESS, (now - started_at) / usual_s))
 
     def get_rejection_rate(self, now: float) -> float:
         """Return the part of requests that the replica did not run, 0 to 1."""
@@ -82,7 +102,7 @@
 
     def record_unfinished(self, slowness: float, now: float) -> None:
         """Note an exchange that was given up while it was slower than usual."""
-        if slowness > self.get_slowness(now):
+        if slowness > self._recall_slowness(now):
             self._sample(min(slowness, MAX_SLOWNESS), None, now)
 
     def record_failure(self, now: float) -> bool:
@@ -104,12 +124,15 @@
         self._suspension_s = FIRST_SUSPENSION_S
 
     def _sample(self, slowness: float | None, rejection: float | None, now: float) -> None:
-        known_slowness = self.get_slowness(now)
+        known_slowness = self._recall_slowness(now)
         known_rejections = self.get_rejection_rate(now)
         self._sampled_at = now
         self._slowness = _blend(known_slowness, slowness, SPEED_WEIGHT)
         self._rejections = _blend(known_rejections, rejection, REJECTION_WEIGHT)
 
+    def _recall_slowness(self, now: float) -> float:
+        return 1.0 + (self._slowness - 1.0) * self._fade(now)
+
     def _fade(self, now: float) -> float:
         return 0.5 ** ((now - self._sampled_at) / FORGET_HALF_LIFE_S)
 
