--- a/libs/entry/src/zinnia_entry/handler.py
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -7,7 +7,7 @@
 from zinnia_catalog.catalog import Catalog
 from zinnia_catalog.ids import RouteName, ServiceName
 from zinnia_catalog.routes import Route
-from zinnia_entry.logs import RequestLog
+from zinnia_entry.logs import RequestLog, RequestRecord
 from zinnia_entry.messages import CallerFacts, CallerProtocol, CallerReply, CallerRequest
 from zinnia_entry.metrics import Metrics
 from zinnia_entry.reasons import RefusalReason, RequestOutcome
@@ -28,6 +28,10 @@
 REJECTED_RETRY_S = 0.15
 # Time from a caller's send to its arrival here and back, part of the target latency.
 CALLER_ROUND_TRIP_S = 0.002
+# A request that opens its connection has spent another round trip.
+CONNECT_ROUND_TRIP_S = 0.002
+# Weight of what is known in the running average of the delay of seals.
+LAG_MEMORY = 0.9
 # Part of the target latency that a replica usually takes, until latencies were measured.
 USUAL_PART = 0.2
 # Difference of a deadline from the longest one of its route that tells a caller's later attempt.
@@ -41,6 +45,11 @@
     latency: LatencyHistogram
     weights: WeightedChoice
     full_deadline_s: float = 0.0
+    seal_lag_s: float = 0.0
+
+    def record_lag(self, lag_s: float) -> None:
+        """Note how late an answer was sealed; a larger delay counts at once and fades slowly."""
+        self.seal_lag_s = max(lag_s, self.seal_lag_s * LAG_MEMORY + lag_s * (1 - LAG_MEMORY))
 
 
 class TierHandler(RequestHandler):
@@ -89,6 +98,8 @@
         state = self._get_state(route)
         limit_s = route.timeout_s
         elapsed_s = CALLER_ROUND_TRIP_S
+        if request.is_first:
+            elapsed_s += CONNECT_ROUND_TRIP_S
         if facts.deadline_s is not None:
             limit_s = min(limit_s, facts.deadline_s)
             elapsed_s += self._find_elapsed(state, facts.deadline_s)
@@ -105,6 +116,7 @@
             target_at=request.received_at + target_s,
             end_at=request.received_at + limit_s,
             latency=state.latency,
+            seal_lag_s=state.seal_lag_s,
         )
         return RequestRun(run_request, self._fleet, self._budget, self._sender)
 
@@ -154,6 +166,8 @@
             self._finish(request, facts, route, result, None, outcome.trace)
             return self._protocol.make_answer(answer)
         self._metrics.missing_shards.inc(outcome.missing)
+        if outcome.sealed_late_s is not None:
+            self._get_state(route).record_lag(outcome.sealed_late_s)
         body = merge_records((answer.body for answer in outcome.answers), route.top_k)
         signatures = [answer.signature for answer in outcome.answers]
         reply = self._protocol.make_merged(signatures, outcome.missing, body)
@@ -188,9 +202,21 @@
         self._metrics.count_request(route.name if route else "none", outcome, duration_s)
         if reason is not None:
             self._metrics.count_refusal(reason)
-        is_late = route is not None and duration_s > route.target_latency_s
-        self._log.write_request(
-            facts, route, outcome, reason, duration_s, is_late, missing, trace, self._catalog
+        configuration = self._catalog.configuration
+        self._log.put(
+            RequestRecord(
+                request_id=facts.request_id,
+                deadline_s=facts.deadline_s,
+                route=route.name if route else None,
+                outcome=outcome,
+                reason=reason,
+                duration_s=duration_s,
+                is_late=route is not None and duration_s > route.target_latency_s,
+                missing_shards=missing,
+                trace=trace,
+                configuration=configuration.version if configuration else None,
+                replicas_known=len(self._catalog.replicas),
+            )
         )
 
 
--- a/libs/entry/src/zinnia_entry/logs.py
+++ b/libs/entry/src/zinnia_entry/logs.py
@@ -5,14 +5,13 @@
 import sys
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import trio
+import trio.lowlevel
 from loguru import logger
 
-from zinnia_catalog.catalog import Catalog
-from zinnia_catalog.routes import Route
-from zinnia_entry.messages import CallerFacts
 from zinnia_entry.reasons import RefusalReason, RequestOutcome
 from zinnia_sending.events import EventSink
 from zinnia_sending.runs import TraceStep
@@ -27,6 +26,9 @@
 # One of this many requests without anything unusual is logged, chosen by its id on every VM alike.
 SAMPLE_EVERY = 32
 FLUSH_INTERVAL_S = 0.2
+# Finished requests that wait for their lines to be made, and how long they wait at least.
+MAX_WAITING_REQUESTS = 300
+REQUEST_DELAY_S = 0.05
 DROP_REPORT_INTERVAL_S = 5.0
 
 
@@ -105,6 +107,10 @@
         self._logger.bind(**fields).info(event)
         return True
 
+    def drop(self, event: str) -> None:
+        """Count an event that is not written."""
+        self._writer.drop(event)
+
     async def run(self) -> None:
         """Flush lines and report dropped ones until cancelled."""
         report_at = self._clock() + DROP_REPORT_INTERVAL_S
@@ -137,50 +143,81 @@
         self._writer.put(record["message"], text.encode())
 
 
+@dataclass(frozen=True, slots=True)
+class RequestRecord:
+    """One finished request with the beliefs that it was decided on."""
+
+    request_id: bytes
+    deadline_s: float | None
+    route: str | None
+    outcome: RequestOutcome
+    reason: RefusalReason | None
+    duration_s: float
+    is_late: bool
+    missing_shards: int
+    trace: tuple[TraceStep, ...]
+    configuration: int | None
+    replicas_known: int
+
+    @property
+    def is_unusual(self) -> bool:
+        """Whether the request failed, was late or lacked shards."""
+        return self.is_late or self.outcome is not RequestOutcome.COMPLETE
+
+
 class RequestLog:
-    """Writes the decisions of requests that failed, were late or partial, and of a sample."""
+    """Writes the decisions of requests that failed, were late or partial, and of a sample.
+
+    Lines are made after the reply was sent, because making them takes a slow core milliseconds.
+    """
 
     def __init__(self, events: EventLog) -> None:
         self._events = events
+        self._waiting: deque[RequestRecord] = deque()
+        self._arrived = trio.Event()
 
-    def write_request(
-        self,
-        facts: CallerFacts,
-        route: Route | None,
-        outcome: RequestOutcome,
-        reason: RefusalReason | None,
-        duration_s: float,
-        is_late: bool,
-        missing: int,
-        trace: tuple[TraceStep, ...],
-        catalog: Catalog,
-    ) -> None:
-        """Write one line for each decision of a request, and one for its end."""
-        request_id = facts.request_id.decode("latin-1")
-        is_unusual = is_late or outcome is not RequestOutcome.COMPLETE
-        if not is_unusual and not is_sampled(facts.request_id):
+    def put(self, record: RequestRecord) -> None:
+        """Queue a request, unless it is an ordinary one outside the sample."""
+        if not record.is_unusual and not is_sampled(record.request_id):
+            return
+        if len(self._waiting) >= MAX_WAITING_REQUESTS:
+            self._events.drop("request_finished")
             return
-        write = self._events.note if is_unusual else self._events.note_ordinary
-        for step in trace:
-            write(
-                f"request_{step.event}",
-                request=request_id,
-                at_ms=round(step.offset_s * 1000, 1),
-                **step.fields,
-            )
-        configuration = catalog.configuration
+        self._waiting.append(record)
+        self._arrived.set()
+
+    async def run(self) -> None:
+        """Write queued requests until cancelled, a few lines at a time."""
+        try:
+            while True:
+                await self._arrived.wait()
+                self._arrived = trio.Event()
+                await trio.sleep(REQUEST_DELAY_S)
+                while self._waiting:
+                    self._write(self._waiting.popleft())
+                    await trio.lowlevel.checkpoint()
+        finally:
+            while self._waiting:
+                self._write(self._waiting.popleft())
+
+    def _write(self, record: RequestRecord) -> None:
+        write = self._events.note if record.is_unusual else self._events.note_ordinary
+        request_id = record.request_id.decode("latin-1")
+        for step in record.trace:
+            at_ms = round(step.offset_s * 1000, 1)
+            write(f"request_{step.event}", request=request_id, at_ms=at_ms, **step.fields)
         write(
             "request_finished",
             request=request_id,
-            route=route.name if route else None,
-            outcome=outcome.value,
-            reason=reason.value if reason else None,
-            duration_ms=round(duration_s * 1000, 1),
-            late=is_late,
-            missing_shards=missing,
-            deadline_s=facts.deadline_s,
-            configuration=configuration.version if configuration else None,
-            replicas_known=len(catalog.replicas),
+            route=record.route,
+            outcome=record.outcome.value,
+            reason=record.reason.value if record.reason else None,
+            duration_ms=round(record.duration_s * 1000, 1),
+            late=record.is_late,
+            missing_shards=record.missing_shards,
+            deadline_s=record.deadline_s,
+            configuration=record.configuration,
+            replicas_known=record.replicas_known,
         )
 
 
--- a/libs/entry/src/zinnia_entry/messages.py
+++ b/libs/entry/src/zinnia_entry/messages.py
@@ -12,13 +12,17 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A whole request; header names are in lower case, ``received_at`` is monotonic seconds."""
+    """A whole request; header names are in lower case, ``received_at`` is monotonic seconds.
+
+    ``is_first`` tells whether it is the first one on its connection.
+    """
 
     method: bytes
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     received_at: float
+    is_first: bool = False
 
     @property
     def path(self) -> str:
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -96,6 +96,7 @@
             self._fleet.versions, adapter.store, self.get_rank, events, trio.current_time
         )
         self._relay = RelayServer(settings.vm, self._beliefs)
+        self._request_log = RequestLog(events)
         self._is_stopping = False
         self._servers: list[CallerServer] = []
 
@@ -166,7 +167,7 @@
             dispatcher,
             self._adapter.callers,
             self.metrics,
-            RequestLog(self.events),
+            self._request_log,
         )
         callers = CallerServer(handler, self._get_limits, self.events)
         self._servers.append(callers)
@@ -187,6 +188,7 @@
         nursery.start_soon(self._keep_up)
         nursery.start_soon(self._follow_members)
         nursery.start_soon(self.events.run)
+        nursery.start_soon(self._request_log.run)
 
     async def _serve_peers(self, host: str, port: int) -> None:
         listener = trio.SocketListener(await open_listener(host, port))
--- a/libs/entry/src/zinnia_entry/server.py
+++ b/libs/entry/src/zinnia_entry/server.py
@@ -120,6 +120,7 @@
         self._server = server
         self._socket = connection
         self._limits = server._get_limits()
+        self._is_first = True
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
@@ -156,7 +157,10 @@
             raise BadRequestError(408, "the request did not arrive within the header timeout")
         self._limits = server._get_limits()
         headers = tuple((bytes(name), bytes(value)) for name, value in head.headers)
-        return CallerRequest(bytes(head.method), bytes(head.target), headers, body, received_at)
+        is_first, self._is_first = self._is_first, False
+        return CallerRequest(
+            bytes(head.method), bytes(head.target), headers, body, received_at, is_first
+        )
 
     async def _await_start(self) -> bool:
         """Wait for the first byte of a request; return False if none comes in time."""
--- a/libs/sending/src/zinnia_sending/attempts.py
+++ b/libs/sending/src/zinnia_sending/attempts.py
@@ -31,7 +31,8 @@
 class RunRequest:
     """One caller's request on its way; times are monotonic seconds.
 
-    ``services`` names the shards, or the one service of a route to single replicas.
+    ``services`` names the shards, or the one service of a route to single replicas. ``seal_lag_s``
+    is the delay to expect between the planned seal of an incomplete answer and its reply.
     """
 
     id: str
@@ -43,6 +44,7 @@
     target_at: float
     end_at: float
     latency: LatencyHistogram
+    seal_lag_s: float = 0.0
 
 
 @dataclass(slots=True)
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -21,9 +21,11 @@
 # Part of the retry tokens that hedges leave for retries after failures.
 HEDGE_RESERVE = 0.25
 # Time before the target latency at which an incomplete answer is sealed, as a part of the target,
-# and at least this long: the answer still has to be merged and to reach the caller.
+# beside the delay that this VM has seen between that time and its reply.
 SEAL_MARGIN_PART = 0.07
 MIN_SEAL_MARGIN_S = 0.006
+# An answer that is sealed later than this waited for parts, not for the processor.
+LONGEST_LAG_S = 0.03
 # Time before the end of a request at which it is given up.
 END_MARGIN_S = 0.03
 
@@ -64,7 +66,8 @@
 
     ``answers`` holds the parts that are in; ``failure`` is a replica's own failure, to be passed on
     if there is no answer. ``may_have_run`` tells whether the request may have run anywhere.
-    ``retry_after_s`` is when another attempt may find a replica.
+    ``retry_after_s`` is when another attempt may find a replica. ``sealed_late_s`` is how long
+    after the planned time an incomplete answer was sealed, None if it was not sealed by time.
     """
 
     verdict: RunVerdict
@@ -74,6 +77,7 @@
     may_have_run: bool
     retry_after_s: float
     trace: tuple[TraceStep, ...]
+    sealed_late_s: float | None = None
 
 
 class RequestRun:
@@ -106,7 +110,7 @@
         self._answered = 0
         self._retry_after_s = 0.0
         target_s = request.target_at - request.received_at
-        margin_s = max(MIN_SEAL_MARGIN_S, SEAL_MARGIN_PART * target_s)
+        margin_s = max(MIN_SEAL_MARGIN_S, SEAL_MARGIN_PART * target_s) + request.seal_lag_s
         self._seal_at = request.target_at - margin_s if request.is_fanout else request.end_at
         self._end_at = request.end_at - END_MARGIN_S
 
@@ -268,8 +272,17 @@
         failure = self._shards[0].failure if not self._request.is_fanout else None
         verdict = self._judge(missing, may_have_run)
         retry_after_s = self._find_retry_time() if verdict is RunVerdict.NO_REPLICA else 0.0
+        late_s = trio.current_time() - self._seal_at
+        is_by_time = verdict is RunVerdict.PARTIAL and 0 <= late_s < LONGEST_LAG_S
         return RunOutcome(
-            verdict, answers, missing, failure, may_have_run, retry_after_s, self.trace
+            verdict,
+            answers,
+            missing,
+            failure,
+            may_have_run,
+            retry_after_s,
+            self.trace,
+            late_s if is_by_time else None,
         )
 
     def _judge(self, missing: int, may_have_run: bool) -> RunVerdict:
