--- a/libs/entry/src/zinnia_entry/logs.py
+++ b/libs/entry/src/zinnia_entry/logs.py
@@ -111,6 +111,10 @@
         """Count an event that is not written."""
         self._writer.drop(event)
 
+    def flush(self) -> None:
+        """Write the waiting lines as far as the reader takes them now."""
+        self._writer.flush()
+
     async def run(self) -> None:
         """Flush lines and report dropped ones until cancelled."""
         report_at = self._clock() + DROP_REPORT_INTERVAL_S
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -129,6 +129,7 @@
                 await self._stop()
                 nursery.cancel_scope.cancel()
         self.events.note("stop")
+        self.events.flush()
 
     def reload(self, cause: str) -> None:
         """Read the settings again; wrong ones change nothing, and addresses need a restart."""
--- a/libs/entry/src/zinnia_entry/server.py
+++ b/libs/entry/src/zinnia_entry/server.py
@@ -152,6 +152,7 @@
             if not isinstance(head, h11.Request):
                 return None
             received_at = trio.current_time()
+            self._check_head(head)
             body = await self._receive_body(head)
         if scope.cancelled_caught:
             raise BadRequestError(408, "the request did not arrive within the header timeout")
@@ -183,6 +184,13 @@
             if self._server._is_closing or trio.current_time() >= latest:
                 return False
 
+    def _check_head(self, head: h11.Request) -> None:
+        """Refuse a large head that arrived in one piece, which h11 does not."""
+        limit = self._limits.max_header_bytes
+        size = len(head.target) + sum(len(name) + len(value) + 4 for name, value in head.headers)
+        if size > limit:
+            raise BadRequestError(431, f"the head has more than {limit} bytes")
+
     async def _receive_body(self, head: h11.Request) -> bytes:
         limit = self._limits.max_body_bytes
         for name, value in head.headers:
--- /dev/null
+++ b/libs/entry/tests/fakes.py
@@ -0,0 +1,74 @@
+from zinnia_catalog.collections import Collection
+from zinnia_catalog.objects import Changes, Listing, ObjectKind, ObjectStore
+from zinnia_entry.settings import Address, EntrySettings
+from zinnia_sending.budgets import RetryBounds
+from zinnia_sending.events import EventSink
+
+
+class RecordingSink(EventSink):
+    def __init__(self):
+        self.events = []
+
+    def note(self, event, **fields):
+        self.events.append((event, fields))
+
+    def names(self):
+        return [event for event, _ in self.events]
+
+
+class FakeStore(ObjectStore):
+    """A store whose replies a test sets: exceptions are raised, others are returned in turn."""
+
+    def __init__(self):
+        self.lists = []
+        self.watches = []
+        self.calls = []
+        self.written = []
+        self.write_error = None
+
+    async def list(self, kind, allow_stale=False):
+        self.calls.append(("list", kind))
+        return self._take(self.lists, Listing((), 1))
+
+    async def watch(self, kind, revision, wait_s):
+        self.calls.append(("watch", revision))
+        return self._take(self.watches, Changes((), revision))
+
+    def _take(self, replies, default):
+        reply = replies.pop(0) if replies else default
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+    async def create(self, kind, name, spec):
+        self.calls.append(("create", name))
+
+    async def delete(self, kind, name):
+        self.calls.append(("delete", name))
+
+    async def write_release(self, order, state):
+        if self.write_error is not None:
+            raise self.write_error
+        self.written.append((order.service, state))
+
+
+def make_settings(**fields):
+    values = {
+        "vm": "vm-1",
+        "data_centre": "dc1",
+        "callers": Address("127.0.0.1", 0),
+        "readiness": Address("127.0.0.1", 0),
+        "peers": Address("127.0.0.1", 1),
+        "metrics": None,
+        "store": Address("127.0.0.1", 2),
+        "seeds": (),
+        "retry_bounds": RetryBounds(0.2, 50.0),
+        "drain_timeout_s": 3.0,
+        "grace_period_s": 6.0,
+        "rollback_s": 5.0,
+    }
+    return EntrySettings(**(values | fields))
+
+
+def make_collection(kind=ObjectKind.REPLICAS):
+    return Collection(kind)
--- /dev/null
+++ b/libs/entry/tests/test_logs.py
@@ -0,0 +1,117 @@
+import json
+import os
+import unittest
+
+from zinnia_entry.logs import (
+    BURST_LINES,
+    MAX_WAITING_LINES,
+    SAMPLE_EVERY,
+    EventLog,
+    LineWriter,
+    RequestLog,
+    RequestRecord,
+    is_sampled,
+)
+from zinnia_entry.reasons import RefusalReason, RequestOutcome
+from zinnia_sending.runs import TraceStep
+
+
+def make_record(outcome=RequestOutcome.COMPLETE, request_id=b"1", **fields):
+    values = {
+        "request_id": request_id,
+        "deadline_s": 1.0,
+        "route": "r",
+        "outcome": outcome,
+        "reason": None,
+        "duration_s": 0.01,
+        "is_late": False,
+        "missing_shards": 0,
+        "trace": (),
+        "configuration": 4,
+        "replicas_known": 9,
+    }
+    return RequestRecord(**(values | fields))
+
+
+class LogTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.read_end, self.write_end = os.pipe()
+        self.dropped = []
+        self.writer = LineWriter(self.write_end, self.dropped.append)
+        self.log = EventLog(self.writer, "vm-1", lambda: self.now)
+
+    def tearDown(self):
+        os.close(self.read_end)
+        os.close(self.write_end)
+
+    def read_lines(self):
+        self.writer.flush()
+        os.set_blocking(self.read_end, False)
+        data = b""
+        while True:
+            try:
+                data += os.read(self.read_end, 65536)
+            except BlockingIOError:
+                return [json.loads(line) for line in data.splitlines()]
+
+    def test_line_has_time_event_and_fields(self):
+        """Guards against lines that no tool can read."""
+        self.log.note("store_lost", kind="replicas", cause='a "quoted" cause')
+        line = self.read_lines()[0]
+        self.assertEqual(
+            ("store_lost", "replicas", "vm-1"), (line["event"], line["kind"], line["vm"])
+        )
+        self.assertIn("time", line)
+
+    def test_stalled_reader_blocks_nothing_and_the_loss_is_counted(self):
+        """Load pattern: the reader of standard output stalls while many requests fail."""
+        lines = 4 * MAX_WAITING_LINES
+        for number in range(lines):
+            self.now += 0.1
+            self.log.note("request_finished", number=number, text="x" * 200)
+            self.writer.flush()
+        self.assertGreater(len(self.dropped), 0)
+        self.assertEqual({"request_finished": len(self.dropped)}, self.writer.dropped)
+
+    def test_lines_within_a_moment_are_bounded(self):
+        """Load pattern: every request fails at the same moment."""
+        for _ in range(5000):
+            self.log.note("request_finished")
+        self.assertLessEqual(len(self.read_lines()), BURST_LINES)
+        self.assertGreater(len(self.dropped), 4000)
+
+    def test_ordinary_requests_leave_room_for_failures(self):
+        """Guards against a sample of good requests that pushes a failure out."""
+        for _ in range(5000):
+            self.log.note_ordinary("request_finished")
+        self.log.note("store_lost")
+        self.assertEqual("store_lost", self.read_lines()[-1]["event"])
+
+    def test_failed_request_is_told_with_each_decision(self):
+        """Guards against a failed request whose cause stands nowhere."""
+        requests = RequestLog(self.log)
+        trace = (TraceStep(0.01, "ended", {"replica": "i-1", "result": "broken"}),)
+        reason = RefusalReason.REPLICA_FAILED
+        requests.put(make_record(RequestOutcome.REFUSED, b"abc", reason=reason, trace=trace))
+        requests._write(requests._waiting.popleft())
+        lines = self.read_lines()
+        self.assertEqual(["request_ended", "request_finished"], [row["event"] for row in lines])
+        self.assertEqual({"abc"}, {row["request"] for row in lines})
+        self.assertEqual("replica_failed", lines[1]["reason"])
+        self.assertEqual(4, lines[1]["configuration"])
+
+    def test_sample_is_the_same_on_every_vm(self):
+        """Guards against a sampled request of which only some VMs tell."""
+        ids = [f"{number:016x}".encode() for number in range(5000)]
+        sampled = [row for row in ids if is_sampled(row)]
+        self.assertEqual(sampled, [row for row in ids if is_sampled(row)])
+        self.assertLess(len(sampled), 3 * len(ids) / SAMPLE_EVERY)
+        self.assertGreater(len(sampled), 0)
+
+    def test_ordinary_request_outside_the_sample_is_not_kept(self):
+        """Guards against a line for each good request."""
+        requests = RequestLog(self.log)
+        ordinary = next(b"%d" % n for n in range(99) if not is_sampled(b"%d" % n))
+        requests.put(make_record(request_id=ordinary))
+        self.assertEqual(0, len(requests._waiting))
--- /dev/null
+++ b/libs/entry/tests/test_sources.py
@@ -0,0 +1,106 @@
+import unittest
+from random import Random
+
+import trio
+import trio.testing
+from fakes import FakeStore, RecordingSink, make_settings
+
+from zinnia_catalog.objects import Listing, StoredObject
+from zinnia_entry.metrics import Metrics
+from zinnia_entry.sources import (
+    FOLLOWED_KINDS,
+    WATCHERS,
+    SourceController,
+    parse_address,
+    rank_members,
+)
+from zinnia_relay.beliefs import Beliefs
+from zinnia_relay.client import PeerLostError
+
+NAMES = [f"vm-{number}" for number in range(8)]
+MEMBERS = {name: f"127.0.0.1:{number + 1}" for number, name in enumerate(NAMES)}
+
+
+class FakePeer:
+    """A watcher that confirms all kinds with news of ``age_s`` seconds, or does not answer."""
+
+    def __init__(self, beliefs, age_s):
+        self._beliefs = beliefs
+        self._age_s = age_s
+
+    async def __aenter__(self):
+        if self._age_s is None:
+            raise PeerLostError("refused")
+        return self
+
+    async def __aexit__(self, *_):
+        pass
+
+    async def poll(self, wait_s):
+        await trio.sleep(wait_s)
+        for kind in FOLLOWED_KINDS:
+            self._beliefs.confirm(kind, (), self._age_s)
+
+
+class SourceControllerTest(unittest.TestCase):
+    def run_controller(self, vm, age_s, seconds=3.0, known=True):
+        """Run a VM whose watchers are ``age_s`` behind; return the controller and its events."""
+
+        async def main():
+            beliefs = Beliefs(FOLLOWED_KINDS, lambda *_: None)
+            if known:
+                for kind in FOLLOWED_KINDS:
+                    collection = beliefs.collections[kind]
+                    collection.replace(Listing((StoredObject("a", 1, {}),), 5))
+            events = RecordingSink()
+            store = SlowStore()
+            controller = SourceController(
+                make_settings(vm=vm), beliefs, store, lambda: MEMBERS, Metrics(), events, Random(1)
+            )
+            controller._connect = lambda address: FakePeer(beliefs, age_s)
+            with trio.move_on_after(seconds):
+                await controller.run()
+            return [fields["source"] for name, fields in events.events if name == "source_changed"]
+
+        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_few_vms_watch_and_the_others_follow(self):
+        """Load pattern: many VMs, and every call to the store is priced."""
+        ranked = rank_members(set(NAMES))
+        direct = [name for name in NAMES if self.run_controller(name, 0.5)[:1] == ["store"]]
+        self.assertEqual(sorted(ranked[:WATCHERS]), direct)
+
+    def test_vm_whose_watchers_are_gone_asks_the_store(self):
+        """Load pattern: watchers are killed."""
+        follower = rank_members(set(NAMES))[-1]
+        self.assertEqual(["store"], self.run_controller(follower, None))
+
+    def test_vm_whose_watchers_are_cut_off_from_the_store_asks_it_itself(self):
+        """Load pattern: the store turns some machines away and serves the others."""
+        follower = rank_members(set(NAMES))[-1]
+        self.assertEqual(["store"], self.run_controller(follower, 10.0))
+
+    def test_vm_that_knows_nothing_asks_the_store_first(self):
+        """Load pattern: all VMs start again at once."""
+        follower = rank_members(set(NAMES))[-1]
+        self.assertEqual("store", self.run_controller(follower, 0.5, known=False)[0])
+
+    def test_rank_does_not_depend_on_who_computes_it(self):
+        """Guards against VMs that disagree on who watches."""
+        self.assertEqual(rank_members(set(NAMES)), rank_members({*NAMES[4:], *NAMES[:4]}))
+
+    def test_address_of_a_registration_is_read(self):
+        """Guards against a peer that cannot be reached because of its registration."""
+        self.assertEqual("10.0.0.1:80", str(parse_address("10.0.0.1:80")))
+
+
+class SlowStore(FakeStore):
+    """Serves each call after a moment, as a store does."""
+
+    async def list(self, kind, allow_stale=False):
+        await trio.sleep(0.005)
+        return await super().list(kind)
+
+    async def watch(self, kind, revision, wait_s):
+        await trio.sleep(wait_s)
+        return await super().watch(kind, revision, wait_s)
--- a/tools/check.py
+++ b/tools/check.py
@@ -60,6 +60,11 @@
     return verdicts, done.stdout + done.stderr if failed else ""
 
 
+def find_suites() -> list[Path]:
+    """Return the test directories of all libraries, programs and the adapter."""
+    return [*ROOT.glob("*/*/tests"), ROOT / "platform/tests"]
+
+
 def run_everything() -> list[tuple[dict[str, str], str]]:
     """Run every check; return the verdicts and the output of each."""
     results = [
@@ -67,7 +72,7 @@
         run_command("lint", "-m", "ruff", "check", "--quiet", "."),
         run_command("imports", "tools/imports.py"),
     ]
-    suites = sorted(path for path in ROOT.glob("*/*/tests") if any(path.glob("test_*.py")))
+    suites = sorted(path for path in find_suites() if any(path.glob("test_*.py")))
     with ThreadPoolExecutor(PARALLEL_SUITES) as pool:
         results.extend(pool.map(run_suite, suites))
     if any((ROOT / "scenarios").rglob("*.feature")):
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -27,6 +27,11 @@
     "zinnia_routing": {"zinnia_model", "zinnia_facts"},
     "zinnia_claims": {"zinnia_model", "zinnia_platform"},
     "zinnia_releases": {"zinnia_model", "zinnia_facts"},
+    "zinnia_catalog": set(),
+    "zinnia_sending": {"zinnia_catalog"},
+    "zinnia_relay": {"zinnia_catalog"},
+    "zinnia_entry": {"zinnia_catalog", "zinnia_sending", "zinnia_relay"},
+    "zinnia_adapter": {"zinnia_catalog", "zinnia_sending", "zinnia_entry"},
     "zinnia_standins": {"zinnia_model", "zinnia_platform"},
     "zinniarouterd": PRODUCT,
     "zinnia_tool": {"zinnia_model", "zinnia_releases"},
@@ -45,11 +50,17 @@
     return names
 
 
+def find_sources(package: str) -> list[Path]:
+    """Return the source files of a package of the workspace or of the adapter."""
+    found = [*ROOT.glob(f"*/*/src/{package}/**/*.py"), *ROOT.glob(f"platform/{package}/**/*.py")]
+    return sorted(found)
+
+
 def find_violations() -> list[str]:
     """Return one line for each import that the design does not allow."""
     lines = []
     for package, allowed in ALLOWED.items():
-        for path in sorted(ROOT.glob(f"*/*/src/{package}/**/*.py")):
+        for path in find_sources(package):
             for name in sorted(list_imports(path) & (set(ALLOWED) - allowed - {package})):
                 lines.append(f"{path.relative_to(ROOT)}: {package} may not import {name}")
     return lines
