--- a/programs/daemon/src/zinniarouterd/settings.py
+++ b/programs/daemon/src/zinniarouterd/settings.py
@@ -108,7 +108,7 @@
     except (YAMLError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: is not valid YAML ({error}); fix the syntax") from error
     if not isinstance(data, dict):
-        raise SettingsError(f"{path}: must be a mapping of keys; see docs/operations.md")
+        raise SettingsError(f"{path}: must be a mapping of keys; see docs/OPERATIONS.md")
     try:
         return Settings.model_validate(data)
     except ValidationError as error:
--- a/programs/daemon/tests/test_reasons.py
+++ b/programs/daemon/tests/test_reasons.py
@@ -6,7 +6,7 @@
 from zinniarouterd.metrics import Metrics
 from zinniarouterd.requests import REFUSAL_STATUS
 
-OPERATIONS = Path(__file__).resolve().parents[3] / "docs" / "operations.md"
+OPERATIONS = Path(__file__).resolve().parents[3] / "docs" / "OPERATIONS.md"
 ROW = re.compile(r"^\| `([a-z_]+)` \|(.+)\|(.+)\|$", re.MULTILINE)
 HEADING = "## Reasons"
 
--- a/programs/tool/src/zinnia_tool/requests.py
+++ b/programs/tool/src/zinnia_tool/requests.py
@@ -1,10 +1,18 @@
 """Commands for the status of VMs and for single requests."""
 
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 
 from zinnia_tool.command import CALL_OPTIONS, ToolCommand, format_table
+from zinnia_tool.logs import explain_request, read_lines
 from zinnia_tool.replies import StatusReply
 
+LOGS_OPTION = option(
+    "logs",
+    description="Saved log file of a VM; may be repeated. Without it the VMs are asked",
+    flag=False,
+    multiple=True,
+)
+
 
 class StatusCommand(ToolCommand):
     """Shows a VM and what it knows."""
@@ -51,12 +59,17 @@
     """Explains one request."""
 
     name = "explain"
-    description = "Show every decision about a request; asks each server until one knows it"
+    description = "Show every decision about a request, from saved logs or from the VMs"
     arguments = [argument("request-id", "Id from the answer or the refusal")]
-    options = CALL_OPTIONS
+    options = [*CALL_OPTIONS, LOGS_OPTION]
 
     def run_command(self) -> None:
         """Print the events of the request."""
+        paths = self.option("logs")
+        if paths:
+            for line in explain_request(read_lines(paths), self.argument("request-id")):
+                self.write(line)
+            return
         with self.open_client() as client:
             reply = client.find_trace(self.argument("request-id"))
         rows = [(f"{row.at_s * 1000:.1f} ms", row.event, row.detail) for row in reply.events]
