--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -17,6 +17,7 @@
 )
 from zinnia_sending.budgets import RetryBudget
 from zinnia_sending.fleet import Fleet
+from zinnia_sending.replica import Replica
 
 # Part of the retry tokens that hedges leave for retries after failures.
 HEDGE_RESERVE = 0.25
@@ -122,9 +123,8 @@
     async def run(self) -> RunOutcome:
         """Run the request; on cancellation all of its sends are cancelled."""
         try:
-            for shard in self._shards:
-                self._start_first(shard)
-            await self._wait()
+            if self._start_first():
+                await self._wait()
             return self._seal()
         finally:
             self._is_sealed = True
@@ -167,10 +167,23 @@
         self._pending -= 1
         self._wake.set()
 
-    def _start_first(self, shard: ShardProgress) -> None:
-        self._budget.earn(shard.service)
-        if not self._start(shard, SendReason.FIRST, ()):
-            self._settle_shard(shard)
+    def _start_first(self) -> bool:
+        """Send to a replica of each service; nothing is sent if too few services have one."""
+        now = trio.current_time()
+        planned = []
+        for shard in self._shards:
+            self._budget.earn(shard.service)
+            replica = self._fleet.choose(shard.service, (), now)
+            if replica is None:
+                self._note("no_replica", service=shard.service, reason=SendReason.FIRST.value)
+                self._settle_shard(shard)
+            else:
+                planned.append((shard, replica))
+        if not self._is_enough(len(planned)):
+            return False
+        for shard, replica in planned:
+            self._send(shard, replica, SendReason.FIRST, now)
+        return True
 
     def _retry(self, shard: ShardProgress, attempt: Attempt, result: ExchangeResult) -> bool:
         """Send again after a failure, if that is allowed and useful."""
@@ -198,14 +211,16 @@
         if shard.sends and not self._budget.take(shard.service, reserve):
             self._note("budget_spent", service=shard.service, reason=reason.value)
             return False
+        self._note("sent", service=shard.service, replica=replica.id, reason=reason.value)
+        self._send(shard, replica, reason, now)
+        return True
+
+    def _send(self, shard: ShardProgress, replica: Replica, reason: SendReason, now: float) -> None:
         attempt = Attempt(shard, replica, reason, now, self._request, self.settle)
         shard.tried.append(replica.id)
         shard.live.append(attempt)
         shard.sends += 1
-        if reason is not SendReason.FIRST:
-            self._note("sent", service=shard.service, replica=replica.id, reason=reason.value)
         self._sender.start(attempt)
-        return True
 
     async def _wait(self) -> None:
         """Wait until the request can be answered or given up; hedge slow shards meanwhile."""
--- a/libs/sending/tests/test_runs.py
+++ b/libs/sending/tests/test_runs.py
@@ -85,6 +85,25 @@
         self.assertTrue(outcome.may_have_run)
         self.assertLess(bench.took_s, 0.05)
 
+    def test_nothing_is_sent_if_too_few_shards_have_a_replica(self):
+        """Load pattern: all VMs restart while the entries of most replicas have lapsed.
+
+        Guards against load without use, and a refusal that cannot say that nothing has run.
+        """
+
+        async def main():
+            fleet, services = make_shards(20)
+            for name in services[:3]:
+                for copy in "ab":
+                    fleet.remove_replica(f"{name}-{copy}", "lapsed")
+            bench = RunBench(fleet, script_all(services))
+            return bench, await bench.run(make_route(services), services)
+
+        bench, outcome = run_trio(main)
+        self.assertIs(RunVerdict.NO_REPLICA, outcome.verdict)
+        self.assertFalse(outcome.may_have_run)
+        self.assertEqual([], bench.sender.sent)
+
     def test_failure_with_a_signature_is_no_part(self):
         """Guards against merging a replica's failure."""
         failing = {"s3-a": [(0.01, answer(status=500))], "s3-b": [(0.01, answer(status=500))]}
--- a/programs/tool/src/zinnia_tool/logs.py
+++ b/programs/tool/src/zinnia_tool/logs.py
@@ -24,6 +24,8 @@
         "data_centre_changed",
     )
 )
+# Many replicas appear at once when a VM starts; none of these lines is a cause.
+UNRELATED_EVENTS = frozenset(("replica_added",))
 HIDDEN_FIELDS = frozenset(("time", "event", "vm", "request"))
 HEAD = ("TIME", "VM", "EVENT", "DETAIL")
 
@@ -109,7 +111,7 @@
     vms = {line.vm for line in own}
     end = own[-1].time
     for line in lines:
-        if line.request is not None or line.vm not in vms:
+        if line.request is not None or line.vm not in vms or line.event in UNRELATED_EVENTS:
             continue
         if not end - RELATED_WINDOW <= line.time <= end:
             continue
