--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -1,13 +1,13 @@
 """The replicas of all services, and the choice of one for a request."""
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from enum import Enum
 from random import Random
 
 import trio
 
 from zinnia_catalog.catalog import CatalogListener
-from zinnia_catalog.ids import DataCentreId, ReplicaId, ServiceName
+from zinnia_catalog.ids import DataCentreId, ReplicaId, ServiceName, VersionId
 from zinnia_catalog.releases import ReleaseOrder
 from zinnia_catalog.replicas import ReplicaEntry
 from zinnia_catalog.routes import Configuration, ServiceLimits
@@ -33,12 +33,18 @@
 LEAST_ACCEPTANCE = 0.05
 
 
-@dataclass(slots=True)
-class Candidates:
-    """The replicas of one service that may get work, by how good they are."""
+class Obstacle(Enum):
+    """Why a replica gets no request now."""
 
-    usable: list[Replica] = field(default_factory=list)
-    next_trial_at: float | None = None
+    DRAINING = "draining"
+    GONE = "gone"
+    TRIED = "tried"
+    DATA_CENTRE_OUT = "data_centre_out"
+    VERSION_SHARE = "version_share"
+    WARMING_UP = "warming_up"
+    SUSPENDED = "suspended"
+    TRIAL_RUNNING = "trial_running"
+    CONNECTIONS_BUSY = "connections_busy"
 
 
 class Fleet(CatalogListener):
@@ -152,37 +158,67 @@
         """Return the number of known replicas."""
         return len(self._replicas)
 
-    def find_candidates(
+    def explain_absence(
         self, service: ServiceName, tried: Collection[ReplicaId], now: float
-    ) -> Candidates:
-        """Return the replicas of a service that may get a request now."""
-        found = Candidates()
+    ) -> dict[ReplicaId, str]:
+        """Return why each replica of a service gets no request now; empty if none is known."""
         excluded = self.versions.find_excluded(service)
+        found = {}
         for replica in self._services.get(service, ()):
-            entry = replica.entry
-            if entry.is_draining or replica.is_gone or entry.id in tried:
-                continue
-            if entry.data_centre in self._out or entry.version == excluded:
-                continue
-            if now < replica.warm_at and not self._allows_warmup(replica, now):
-                continue
-            condition = replica.health.get_condition(now)
-            if condition is Condition.SUSPENDED:
-                trial_at = replica.health.get_trial_time()
-                earliest = found.next_trial_at
-                found.next_trial_at = trial_at if earliest is None else min(earliest, trial_at)
-                continue
-            if condition is Condition.TRIAL_DUE and replica.health.outstanding:
-                continue
-            if replica.pool.has_room:
-                found.usable.append(replica)
+            obstacle = self._find_obstacle(replica, excluded, tried, now)
+            if obstacle is not None:
+                found[replica.id] = obstacle.value
         return found
 
+    def find_trial_time(self, service: ServiceName, now: float) -> float | None:
+        """Return when the next suspended replica of a service is tried, None if none is."""
+        times = [
+            replica.health.get_trial_time()
+            for replica in self._services.get(service, ())
+            if replica.health.get_condition(now) is Condition.SUSPENDED
+        ]
+        return min(times, default=None)
+
+    def _find_obstacle(
+        self,
+        replica: Replica,
+        excluded: VersionId | None,
+        tried: Collection[ReplicaId],
+        now: float,
+    ) -> Obstacle | None:
+        entry = replica.entry
+        if entry.is_draining:
+            return Obstacle.DRAINING
+        if replica.is_gone:
+            return Obstacle.GONE
+        if entry.id in tried:
+            return Obstacle.TRIED
+        if entry.data_centre in self._out:
+            return Obstacle.DATA_CENTRE_OUT
+        if entry.version == excluded:
+            return Obstacle.VERSION_SHARE
+        if now < replica.warm_at and not self._allows_warmup(replica, now):
+            return Obstacle.WARMING_UP
+        return self._find_load_obstacle(replica, now)
+
+    def _find_load_obstacle(self, replica: Replica, now: float) -> Obstacle | None:
+        condition = replica.health.get_condition(now)
+        if condition is Condition.SUSPENDED:
+            return Obstacle.SUSPENDED
+        if condition is Condition.TRIAL_DUE and replica.health.outstanding:
+            return Obstacle.TRIAL_RUNNING
+        return None if replica.pool.has_room else Obstacle.CONNECTIONS_BUSY
+
     def choose(
         self, service: ServiceName, tried: Collection[ReplicaId], now: float
     ) -> Replica | None:
         """Return the replica that is expected to answer first, or None."""
-        usable = self.find_candidates(service, tried, now).usable
+        excluded = self.versions.find_excluded(service)
+        usable = [
+            replica
+            for replica in self._services.get(service, ())
+            if self._find_obstacle(replica, excluded, tried, now) is None
+        ]
         if not usable:
             return None
         if len(usable) == 1:
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
@@ -175,7 +176,7 @@
             self._budget.earn(shard.service)
             replica = self._fleet.choose(shard.service, (), now)
             if replica is None:
-                self._note("no_replica", service=shard.service, reason=SendReason.FIRST.value)
+                self._note_absence(shard, SendReason.FIRST, (), now)
                 self._settle_shard(shard)
             else:
                 planned.append((shard, replica))
@@ -199,13 +200,13 @@
             return False
         return self._start(shard, reason, [other.replica.id for other in shard.live])
 
-    def _start(self, shard: ShardProgress, reason: SendReason, excluded) -> bool:
+    def _start(self, shard: ShardProgress, reason: SendReason, excluded: Collection[str]) -> bool:
         now = trio.current_time()
         if shard.sends >= self._request.route.max_attempts:
             return False
         replica = self._fleet.choose(shard.service, excluded, now)
         if replica is None:
-            self._note("no_replica", service=shard.service, reason=reason.value)
+            self._note_absence(shard, reason, excluded, now)
             return False
         reserve = HEDGE_RESERVE if reason is SendReason.HEDGE else 0.0
         if shard.sends and not self._budget.take(shard.service, reserve):
@@ -317,7 +318,7 @@
         now = trio.current_time()
         latest = 0.0
         for shard in self._shards:
-            trial_at = self._fleet.find_candidates(shard.service, (), now).next_trial_at
+            trial_at = self._fleet.find_trial_time(shard.service, now)
             if trial_at is not None:
                 latest = max(latest, trial_at - now)
         return latest
@@ -326,6 +327,14 @@
         offset_s = trio.current_time() - self._request.received_at
         self._trace.append(TraceStep(offset_s, event, fields))
 
+    def _note_absence(
+        self, shard: ShardProgress, reason: SendReason, excluded: Collection[str], now: float
+    ) -> None:
+        obstacles = self._fleet.explain_absence(shard.service, excluded, now)
+        self._note(
+            "no_replica", service=shard.service, reason=reason.value, replicas=obstacles or "none"
+        )
+
     def _note_end(self, attempt: Attempt, exchange: Exchange) -> None:
         self._note(
             "ended",
--- a/libs/sending/tests/test_fleet.py
+++ b/libs/sending/tests/test_fleet.py
@@ -115,3 +115,13 @@
         """Load pattern: many VMs keep connections to replicas that allow few."""
         fleet = self.in_trio(lambda: make_fleet(make_entry("a"), vms=6))
         self.assertLessEqual(fleet.get_replica("a").pool.limit * 6, 25)
+
+    def test_absence_of_a_replica_is_explained(self):
+        """Guards against a refusal whose log does not say what kept each replica out."""
+        entries = (make_entry("a", is_draining=True), make_entry("b", data_centre="dc2"))
+        fleet = self.in_trio(lambda: make_fleet(*entries, make_entry("c"), make_entry("d")))
+        self.in_trio(lambda: fleet.change_data_centre("dc2", True))
+        fleet.get_replica("c").health.suspend(0.0)
+        reasons = self.in_trio(lambda: fleet.explain_absence("s", ("d",), 0.1))
+        expected = {"a": "draining", "b": "data_centre_out", "c": "suspended", "d": "tried"}
+        self.assertEqual(expected, reasons)
