Deputies and a probe before a follower asks the store; a relisted kind is told as changes

When the two watchers were lost, each of 70 VMs watched the store for 6 s, and each relisting sent all objects to each follower.

--- a/libs/catalog/src/zinnia_catalog/collections.py
+++ b/libs/catalog/src/zinnia_catalog/collections.py
@@ -32,8 +32,10 @@
         changes = [Change(item, True) for item in gone]
         changes += [Change(item, False) for item in listing.objects]
         changes = [change for change in changes if self._apply_one(change)]
-        self._history.clear()
-        self.revision = self._history_start = listing.revision
+        if not self.is_known:
+            self._history_start = listing.revision
+        self._history.extend((listing.revision, change) for change in changes)
+        self.revision = listing.revision
         return tuple(changes)
 
     def advance(self, news: Changes) -> tuple[Change, ...]:
--- a/libs/catalog/tests/test_collections.py
+++ b/libs/catalog/tests/test_collections.py
@@ -61,3 +61,15 @@
         for revision in range(11, 11 + HISTORY_CHANGES + 1):
             collection.advance(Changes((Change(make_object("a", revision), False),), revision))
         self.assertIsNone(collection.find_changes(10))
+
+    def test_listing_after_a_lost_history_is_told_as_changes(self):
+        """Load pattern: the store forgets its history while many VMs follow a watcher.
+
+        Guards against all objects on the wire for each follower.
+        """
+        collection = make_collection(make_object("a", 5), make_object("b", 6))
+        collection.replace(Listing((make_object("b", 6), make_object("c", 15)), 20))
+        found = collection.find_changes(10).changes
+        self.assertEqual(
+            [("a", True), ("c", False)], [(c.object.name, c.is_deleted) for c in found]
+        )
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -227,17 +227,18 @@
     async def _follow_members(self) -> None:
         """Register this VM, and learn now and then how many there are."""
         settings = self._settings
+        store = self._adapter.store
         is_registered = False
         started_at = trio.current_time()
         while True:
             try:
-                if not is_registered:
-                    spec = {"peer_address": str(settings.peers or settings.callers)}
-                    await self._adapter.store.create(ObjectKind.MEMBERS, settings.vm, spec)
-                    is_registered = True
-                listing = await self._adapter.store.list(ObjectKind.MEMBERS, allow_stale=True)
+                listing = await store.list(ObjectKind.MEMBERS, allow_stale=True)
                 changes = self._members.replace(listing)
                 self.catalog.apply(ObjectKind.MEMBERS, changes, False)
+                if not is_registered and settings.vm not in self.catalog.members:
+                    spec = {"peer_address": str(settings.peers or settings.callers)}
+                    await store.create(ObjectKind.MEMBERS, settings.vm, spec)
+                is_registered = True
             except StoreError as error:
                 self.events.note("members_unknown", cause=error.cause)
             is_first = trio.current_time() - started_at < MEMBERS_FIRST_S
--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -6,12 +6,12 @@
 
 import trio
 
-from zinnia_catalog.objects import ObjectKind, ObjectStore
+from zinnia_catalog.objects import HistoryLostError, ObjectKind, ObjectStore, StoreError
 from zinnia_entry.feeds import StoreFeed
 from zinnia_entry.metrics import Metrics
 from zinnia_entry.settings import Address, EntrySettings
 from zinnia_relay.beliefs import Beliefs
-from zinnia_relay.client import PeerConnection, PeerLostError
+from zinnia_relay.client import CONNECT_TIMEOUT_S, PeerConnection, PeerLostError
 from zinnia_sending.events import EventSink
 
 FOLLOWED_KINDS = (
@@ -29,12 +29,24 @@
     ObjectKind.DATA_CENTRES_OUT: 4.0,
     ObjectKind.RELEASES: 4.0,
 }
+# VMs after the watchers in rank that the others try next; they ask the store before the rest do.
+DEPUTIES = 3
 # How long a peer may hold its answer back while there is no news.
 POLL_WAIT_S = 1.0
-# After its watcher was lost, a VM watches the store itself for this long.
-DIRECT_HOLD_S = 6.0
+# After its watchers were lost, a VM watches the store itself for this long.
+DIRECT_HOLD_S = 4.0
+# How long a VM looks for a deputy that has the store's news before it asks the store itself.
+DEPUTY_WAIT_S = 0.6
+DEPUTY_PAUSE_S = 0.2
+# Pause before the next call of a VM that the store does not serve, while others ask it as well.
+PROBE_PAUSE_S = 1.5
 DECIDE_INTERVAL_S = 0.5
+STORE_SOURCE = "store"
 RESCUE_INTERVAL_S = 0.4
+# A VM that starts gives a peer this long to accept a connection and to tell it everything, before
+# it asks the store. After a loss of all VMs no peer accepts, and the wait delays the first answer.
+FIRST_CONNECT_S = 0.03
+FIRST_ASK_S = 0.4
 
 
 class SourceController:
@@ -66,6 +78,7 @@
         self._random = random
         self._direct: trio.CancelScope | None = None
         self._hold_until = 0.0
+        self._source = ""
 
     @property
     def is_direct(self) -> bool:
@@ -74,52 +87,98 @@
 
     async def run(self) -> None:
         """Follow the best source until cancelled."""
+        with trio.move_on_after(FIRST_ASK_S):
+            await self._ask_any(FIRST_CONNECT_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._rescue)
             while True:
-                watchers = self._find_watchers()
-                if watchers and trio.current_time() >= self._hold_until:
-                    await self._follow_any(watchers)
-                    self._hold_until = trio.current_time() + DIRECT_HOLD_S
-                if self._direct is None:
-                    self._events.note("source_changed", source="store")
+                await self._follow_while_useful()
+                if self._direct is None and await self._should_watch():
+                    self._set_source(STORE_SOURCE)
                     self._direct = trio.CancelScope()
                     nursery.start_soon(self._watch_store, self._direct)
                 await trio.sleep(DECIDE_INTERVAL_S)
 
+    async def _follow_while_useful(self) -> None:
+        """Follow watchers until none has news that are fresh enough."""
+        if trio.current_time() < self._hold_until or not self._find_watchers():
+            return
+        give_up_at = trio.current_time() + DEPUTY_WAIT_S
+        while True:
+            if await self._follow_any(self._find_watchers()):
+                give_up_at = trio.current_time() + DEPUTY_WAIT_S
+            if trio.current_time() >= give_up_at:
+                self._hold_until = trio.current_time() + DIRECT_HOLD_S
+                return
+            await trio.sleep(DEPUTY_PAUSE_S)
+
+    async def _should_watch(self) -> bool:
+        """Whether to watch the store; a VM with others before it first sees if it is served."""
+        if not self._find_watchers():
+            return True
+        kind = ObjectKind.CONFIGURATION
+        try:
+            revision = self._beliefs.collections[kind].revision
+            await self._store.watch(kind, revision, 0.0)
+        except HistoryLostError:
+            return True
+        except StoreError as error:
+            self._metrics.count_store_call(kind.value, "failed")
+            self._beliefs.note_failure(kind)
+            self._hold_until = 0.0
+            await trio.sleep(
+                max(error.retry_after_s, PROBE_PAUSE_S * (0.5 + self._random.random()))
+            )
+            return False
+        self._metrics.count_store_call(kind.value, "served")
+        return True
+
     def _find_watchers(self) -> list[tuple[str, Address]]:
         """Return the VMs to follow, best first; none if this VM watches the store itself."""
         members = self._get_members()
         if not self._beliefs.is_complete or len(members) <= WATCHERS:
             return []
-        ranked = rank_members(set(members) | {self._settings.vm})[:WATCHERS]
-        if self._settings.vm in ranked:
+        ranked = rank_members(set(members) | {self._settings.vm})
+        before = ranked[: ranked.index(self._settings.vm)][: WATCHERS + DEPUTIES]
+        if len(before) < WATCHERS:
             return []
-        self._random.shuffle(ranked)
-        return [(name, parse_address(members[name])) for name in ranked]
-
-    async def _follow_any(self, watchers: list[tuple[str, Address]]) -> None:
-        """Follow one watcher after the other until none is of use."""
+        watchers, deputies = before[:WATCHERS], before[WATCHERS:]
+        self._random.shuffle(watchers)
+        self._random.shuffle(deputies)
+        return [(name, parse_address(members[name])) for name in [*watchers, *deputies]]
+
+    async def _follow_any(self, watchers: list[tuple[str, Address]]) -> bool:
+        """Follow one VM after the other until none is of use; return whether one was."""
+        was_useful = False
         for name, address in watchers:
+            started = trio.current_time()
             try:
                 await self._follow(name, address)
             except PeerLostError as error:
                 self._metrics.count_peer_call("failed")
-                self._events.note("watcher_lost", peer=name, cause=str(error))
+                if trio.current_time() - started > POLL_WAIT_S:
+                    was_useful = True
+                    self._events.note("watcher_lost", peer=name, cause=str(error))
+        return was_useful
 
     async def _follow(self, name: str, address: Address) -> None:
         async with self._connect(address) as peer:
+            wait_s = 0.0
             while True:
-                await peer.poll(POLL_WAIT_S)
+                await peer.poll(wait_s)
+                wait_s = POLL_WAIT_S
                 self._metrics.count_peer_call("served")
                 if not self._beliefs.is_fresh(FRESH_LIMITS_S):
                     raise PeerLostError("its news is too old")
-                self._stop_direct(name)
+                self._set_source(name)
 
-    def _stop_direct(self, name: str) -> None:
-        if self._direct is not None:
+    def _set_source(self, name: str) -> None:
+        """Note where news comes from; watches of this VM end once it follows another one."""
+        if name != STORE_SOURCE and self._direct is not None:
             self._direct.cancel()
             self._direct = None
+        if name != self._source:
+            self._source = name
             self._events.note("source_changed", source=name)
 
     async def _watch_store(self, scope: trio.CancelScope) -> None:
@@ -142,14 +201,18 @@
             await trio.sleep(RESCUE_INTERVAL_S)
             if self._beliefs.is_fresh(FRESH_LIMITS_S):
                 continue
-            peers = self._list_peers()
-            if peers:
-                await self._ask_once(self._random.choice(peers))
+            await self._ask_any()
+
+    async def _ask_any(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+        """Ask one peer for all that it knows."""
+        peers = self._list_peers()
+        if peers:
+            await self._ask_once(self._random.choice(peers), connect_timeout_s)
 
-    async def _ask_once(self, address: Address) -> None:
+    async def _ask_once(self, address: Address, connect_timeout_s: float) -> None:
         was_complete = self._beliefs.is_complete
         try:
-            async with self._connect(address) as peer:
+            async with self._connect(address, connect_timeout_s) as peer:
                 await peer.poll(0.0)
                 self._metrics.count_peer_call("served")
         except PeerLostError:
@@ -158,8 +221,12 @@
         if self._beliefs.is_complete and not was_complete:
             self._events.note("learned_from_peer", peer=str(address))
 
-    def _connect(self, address: Address) -> PeerConnection:
-        return PeerConnection(self._settings.vm, address.host, address.port, self._beliefs)
+    def _connect(
+        self, address: Address, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> PeerConnection:
+        return PeerConnection(
+            self._settings.vm, address.host, address.port, self._beliefs, connect_timeout_s
+        )
 
     def _list_peers(self) -> list[Address]:
         addresses = {parse_address(text) for text in self._get_members().values()}
--- a/libs/entry/tests/test_sources.py
+++ b/libs/entry/tests/test_sources.py
@@ -5,7 +5,7 @@
 import trio.testing
 from fakes import FakeStore, RecordingSink, make_settings
 
-from zinnia_catalog.objects import Listing, StoredObject
+from zinnia_catalog.objects import Listing, StoredObject, StoreError
 from zinnia_entry.metrics import Metrics
 from zinnia_entry.sources import (
     FOLLOWED_KINDS,
@@ -43,8 +43,8 @@
 
 
 class SourceControllerTest(unittest.TestCase):
-    def run_controller(self, vm, age_s, seconds=3.0, known=True):
-        """Run a VM whose watchers are ``age_s`` behind; return the controller and its events."""
+    def run_controller(self, vm, age_s, seconds=3.0, known=True, gone=(), store=None):
+        """Run a VM whose peers are ``age_s`` behind, or ``gone``; return the sources it takes."""
 
         async def main():
             beliefs = Beliefs(FOLLOWED_KINDS, lambda *_: None)
@@ -53,11 +53,19 @@
                     collection = beliefs.collections[kind]
                     collection.replace(Listing((StoredObject("a", 1, {}),), 5))
             events = RecordingSink()
-            store = SlowStore()
             controller = SourceController(
-                make_settings(vm=vm), beliefs, store, lambda: MEMBERS, Metrics(), events, Random(1)
+                make_settings(vm=vm),
+                beliefs,
+                store or SlowStore(),
+                lambda: MEMBERS,
+                Metrics(),
+                events,
+                Random(1),
+            )
+            absent = {MEMBERS[name] for name in gone}
+            controller._connect = lambda address, _=0.0: FakePeer(
+                beliefs, None if str(address) in absent else age_s
             )
-            controller._connect = lambda address: FakePeer(beliefs, age_s)
             with trio.move_on_after(seconds):
                 await controller.run()
             return [fields["source"] for name, fields in events.events if name == "source_changed"]
@@ -80,6 +88,25 @@
         follower = rank_members(set(NAMES))[-1]
         self.assertEqual(["store"], self.run_controller(follower, 10.0))
 
+    def test_deputy_asks_the_store_before_the_others_do(self):
+        """Load pattern: all watchers are gone and many VMs follow them.
+
+        Guards against a burst of calls by every follower at once.
+        """
+        ranked = rank_members(set(NAMES))
+        gone = set(ranked[:WATCHERS])
+        deputy, last = ranked[WATCHERS], ranked[-1]
+        self.assertEqual(["store"], self.run_controller(deputy, 0.5, gone=gone))
+        self.assertEqual([deputy], self.run_controller(last, 0.5, gone={*gone, *ranked[3:]}))
+
+    def test_store_that_is_away_gets_few_calls_from_followers(self):
+        """Load pattern: the store is down, and every call is priced, also a refused one."""
+        store = SlowStore()
+        store.watches = [StoreError("away")] * 1000
+        follower = rank_members(set(NAMES))[-1]
+        self.run_controller(follower, 10.0, seconds=10.0, store=store)
+        self.assertLess(len(store.calls), 12)
+
     def test_vm_that_knows_nothing_asks_the_store_first(self):
         """Load pattern: all VMs start again at once."""
         follower = rank_members(set(NAMES))[-1]
--- a/libs/relay/src/zinnia_relay/client.py
+++ b/libs/relay/src/zinnia_relay/client.py
@@ -21,10 +21,18 @@
 class PeerConnection:
     """One connection to a peer; an asynchronous context manager."""
 
-    def __init__(self, vm: str, host: str, port: int, beliefs: Beliefs) -> None:
+    def __init__(
+        self,
+        vm: str,
+        host: str,
+        port: int,
+        beliefs: Beliefs,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
         self._vm = vm
         self._address = (host, port)
         self._beliefs = beliefs
+        self._connect_timeout_s = connect_timeout_s
         self._frames: FrameStream | None = None
         self._answers = 0
 
@@ -37,7 +45,7 @@
             The peer does not accept connections.
         """
         try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
+            with trio.fail_after(self._connect_timeout_s):
                 stream = await open_stream(*self._address)
         except (OSError, trio.TooSlowError) as error:
             raise PeerLostError(f"cannot connect to {self._address[0]}: {error!r}") from error
