--- a/libs/catalog/src/zinnia_catalog/catalog.py
+++ b/libs/catalog/src/zinnia_catalog/catalog.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from zinnia_catalog.ids import DataCentreId, ReplicaId, ServiceName
+from zinnia_catalog.members import Member, read_member
 from zinnia_catalog.objects import Change, ObjectKind, StoredObject
 from zinnia_catalog.releases import ReleaseOrder
 from zinnia_catalog.replicas import ReplicaEntry
@@ -74,7 +75,7 @@
         self.replicas: dict[ReplicaId, ReplicaEntry] = {}
         self.data_centres_out: set[DataCentreId] = set()
         self.releases: dict[ServiceName, ReleaseOrder] = {}
-        self.members: dict[str, str] = {}
+        self.members: dict[str, Member] = {}
         self._decoder = decoder
         self._listener = listener
         self._clock = clock
@@ -156,7 +157,6 @@
         if change.is_deleted:
             self.members.pop(change.object.name, None)
             return
-        spec = change.object.spec
-        address = spec.get("peer_address") if isinstance(spec, dict) else None
-        if isinstance(address, str):
-            self.members[change.object.name] = address
+        member = read_member(change.object.name, change.object.spec)
+        if member is not None:
+            self.members[member.vm] = member
--- a/libs/catalog/src/zinnia_catalog/collections.py
+++ b/libs/catalog/src/zinnia_catalog/collections.py
@@ -5,7 +5,7 @@
 from zinnia_catalog.objects import Change, Changes, Listing, ObjectKind, StoredObject
 
 # Changes kept for peers that follow this VM instead of the store.
-HISTORY_CHANGES = 512
+HISTORY_CHANGES = 4096
 
 
 class Collection:
@@ -48,11 +48,11 @@
         return tuple(changes)
 
     def find_changes(self, revision: int) -> Changes | None:
-        """Return the changes after a revision, or None if a full listing is needed."""
+        """Return the last change of each object after a revision, None if a listing is needed."""
         if revision < self._history_start or self._has_dropped(revision):
             return None
-        changes = tuple(change for at, change in self._history if at > revision)
-        return Changes(changes, self.revision)
+        latest = {change.object.name: change for at, change in self._history if at > revision}
+        return Changes(tuple(latest.values()), self.revision)
 
     def make_listing(self) -> Listing:
         """Return all objects."""
--- a/libs/catalog/tests/test_collections.py
+++ b/libs/catalog/tests/test_collections.py
@@ -73,3 +73,12 @@
         self.assertEqual(
             [("a", True), ("c", False)], [(c.object.name, c.is_deleted) for c in found]
         )
+
+    def test_only_the_last_change_of_an_object_is_told(self):
+        """Load pattern: replicas that warm up change their entries with each heartbeat."""
+        collection = make_collection(make_object("a", 5))
+        for revision in range(11, 20):
+            news = Changes((Change(make_object("a", revision), False),), revision)
+            collection.advance(news)
+        found = collection.find_changes(10).changes
+        self.assertEqual([19], [change.object.revision for change in found])
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -9,6 +9,7 @@
 
 from zinnia_catalog.catalog import Catalog, ObjectDecoder
 from zinnia_catalog.collections import Collection
+from zinnia_catalog.members import rank_names
 from zinnia_catalog.objects import ObjectKind, ObjectStore, StoreError
 from zinnia_catalog.routes import CallerLimits
 from zinnia_entry.handler import TierHandler
@@ -19,7 +20,7 @@
 from zinnia_entry.releases import ReleaseDriver
 from zinnia_entry.server import CallerServer, open_listener
 from zinnia_entry.settings import EntrySettings, SettingsError
-from zinnia_entry.sources import FOLLOWED_KINDS, SourceController, rank_members
+from zinnia_entry.sources import FOLLOWED_KINDS, SourceController, make_member
 from zinnia_relay.beliefs import Beliefs
 from zinnia_relay.server import RelayServer
 from zinnia_sending.budgets import RetryBudget
@@ -107,7 +108,7 @@
     def get_rank(self) -> int:
         """Return the place of this VM in the order that all VMs know, 0 for the first."""
         names = set(self.catalog.members) | {self._settings.vm}
-        return rank_members(names).index(self._settings.vm)
+        return rank_names(names).index(self._settings.vm)
 
     @property
     def is_ready(self) -> bool:
@@ -236,8 +237,8 @@
                 changes = self._members.replace(listing)
                 self.catalog.apply(ObjectKind.MEMBERS, changes, False)
                 if not is_registered and settings.vm not in self.catalog.members:
-                    spec = {"peer_address": str(settings.peers or settings.callers)}
-                    await store.create(ObjectKind.MEMBERS, settings.vm, spec)
+                    document = make_member(settings).write()
+                    await store.create(ObjectKind.MEMBERS, settings.vm, document)
                 is_registered = True
             except StoreError as error:
                 self.events.note("members_unknown", cause=error.cause)
--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -1,11 +1,11 @@
 """Decides where this VM learns changes: from the platform's store, or from a VM that watches it."""
 
-import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 
 import trio
 
+from zinnia_catalog.members import Member, find_watchers
 from zinnia_catalog.objects import HistoryLostError, ObjectKind, ObjectStore, StoreError
 from zinnia_entry.feeds import StoreFeed
 from zinnia_entry.metrics import Metrics
@@ -20,8 +20,6 @@
     ObjectKind.DATA_CENTRES_OUT,
     ObjectKind.RELEASES,
 )
-# VMs that watch the store themselves while it serves them; the others follow one of them.
-WATCHERS = 2
 # Largest age of a peer's news, in seconds; beyond it this VM asks the store itself.
 FRESH_LIMITS_S = {
     ObjectKind.CONFIGURATION: 2.3,
@@ -29,8 +27,6 @@
     ObjectKind.DATA_CENTRES_OUT: 4.0,
     ObjectKind.RELEASES: 4.0,
 }
-# VMs after the watchers in rank that the others try next; they ask the store before the rest do.
-DEPUTIES = 3
 # How long a peer may hold its answer back while there is no news.
 POLL_WAIT_S = 1.0
 # After its watchers were lost, a VM watches the store itself for this long.
@@ -54,8 +50,8 @@
 
     Parameters
     ----------
-    get_members : Callable[[], dict[str, str]]
-        Names and peer addresses of all registered VMs.
+    get_members : Callable[[], Mapping[str, Member]]
+        All registered VMs.
     """
 
     def __init__(
@@ -63,13 +59,14 @@
         settings: EntrySettings,
         beliefs: Beliefs,
         store: ObjectStore,
-        get_members: Callable[[], dict[str, str]],
+        get_members: Callable[[], Mapping[str, Member]],
         metrics: Metrics,
         events: EventSink,
         random: Random,
     ) -> None:
         self._settings = settings
         self.seeds = settings.seeds
+        self._own = make_member(settings)
         self._beliefs = beliefs
         self._store = store
         self._get_members = get_members
@@ -135,17 +132,13 @@
 
     def _find_watchers(self) -> list[tuple[str, Address]]:
         """Return the VMs to follow, best first; none if this VM watches the store itself."""
-        members = self._get_members()
-        if not self._beliefs.is_complete or len(members) <= WATCHERS:
+        if not self._beliefs.is_complete:
             return []
-        ranked = rank_members(set(members) | {self._settings.vm})
-        before = ranked[: ranked.index(self._settings.vm)][: WATCHERS + DEPUTIES]
-        if len(before) < WATCHERS:
-            return []
-        watchers, deputies = before[:WATCHERS], before[WATCHERS:]
+        found, count = find_watchers(self._get_members(), self._own)
+        watchers, deputies = found[:count], found[count:]
         self._random.shuffle(watchers)
         self._random.shuffle(deputies)
-        return [(name, parse_address(members[name])) for name in [*watchers, *deputies]]
+        return [(row.vm, parse_address(row.peer_address)) for row in [*watchers, *deputies]]
 
     async def _follow_any(self, watchers: list[tuple[str, Address]]) -> bool:
         """Follow one VM after the other until none is of use; return whether one was."""
@@ -229,18 +222,19 @@
         )
 
     def _list_peers(self) -> list[Address]:
-        addresses = {parse_address(text) for text in self._get_members().values()}
+        addresses = {parse_address(row.peer_address) for row in self._get_members().values()}
         addresses.update(self.seeds)
         addresses.discard(self._settings.peers)
         return sorted(addresses, key=str)
 
 
-def rank_members(names: set[str]) -> list[str]:
-    """Return names in an order that is the same on every VM and unrelated to the names."""
-    return sorted(names, key=lambda name: (zlib.crc32(name.encode()), name))
-
-
 def parse_address(text: str) -> Address:
     """Return the address that a registration names."""
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
+
+
+def make_member(settings: EntrySettings) -> Member:
+    """Return the registration of this VM."""
+    address = str(settings.peers or settings.callers)
+    return Member(settings.vm, address, settings.data_centre)
--- a/libs/entry/tests/test_sources.py
+++ b/libs/entry/tests/test_sources.py
@@ -5,20 +5,19 @@
 import trio.testing
 from fakes import FakeStore, RecordingSink, make_settings
 
+from zinnia_catalog.members import SHARED_WATCHERS, Member, rank_names
 from zinnia_catalog.objects import Listing, StoredObject, StoreError
 from zinnia_entry.metrics import Metrics
-from zinnia_entry.sources import (
-    FOLLOWED_KINDS,
-    WATCHERS,
-    SourceController,
-    parse_address,
-    rank_members,
-)
+from zinnia_entry.sources import FOLLOWED_KINDS, SourceController, parse_address
 from zinnia_relay.beliefs import Beliefs
 from zinnia_relay.client import PeerLostError
 
 NAMES = [f"vm-{number}" for number in range(8)]
-MEMBERS = {name: f"127.0.0.1:{number + 1}" for number, name in enumerate(NAMES)}
+MEMBERS = {
+    name: Member(name, f"127.0.0.1:{number + 1}", f"dc{number % 4}")
+    for number, name in enumerate(NAMES)
+}
+WATCHERS = SHARED_WATCHERS
 
 
 class FakePeer:
@@ -54,7 +53,7 @@
                     collection.replace(Listing((StoredObject("a", 1, {}),), 5))
             events = RecordingSink()
             controller = SourceController(
-                make_settings(vm=vm),
+                make_settings(vm=vm, data_centre=MEMBERS[vm].data_centre),
                 beliefs,
                 store or SlowStore(),
                 lambda: MEMBERS,
@@ -62,7 +61,7 @@
                 events,
                 Random(1),
             )
-            absent = {MEMBERS[name] for name in gone}
+            absent = {MEMBERS[name].peer_address for name in gone}
             controller._connect = lambda address, _=0.0: FakePeer(
                 beliefs, None if str(address) in absent else age_s
             )
@@ -74,18 +73,18 @@
 
     def test_few_vms_watch_and_the_others_follow(self):
         """Load pattern: many VMs, and every call to the store is priced."""
-        ranked = rank_members(set(NAMES))
+        ranked = rank_names(NAMES)
         direct = [name for name in NAMES if self.run_controller(name, 0.5)[:1] == ["store"]]
         self.assertEqual(sorted(ranked[:WATCHERS]), direct)
 
     def test_vm_whose_watchers_are_gone_asks_the_store(self):
         """Load pattern: watchers are killed."""
-        follower = rank_members(set(NAMES))[-1]
+        follower = rank_names(NAMES)[-1]
         self.assertEqual(["store"], self.run_controller(follower, None))
 
     def test_vm_whose_watchers_are_cut_off_from_the_store_asks_it_itself(self):
         """Load pattern: the store turns some machines away and serves the others."""
-        follower = rank_members(set(NAMES))[-1]
+        follower = rank_names(NAMES)[-1]
         self.assertEqual(["store"], self.run_controller(follower, 10.0))
 
     def test_deputy_asks_the_store_before_the_others_do(self):
@@ -93,7 +92,7 @@
 
         Guards against a burst of calls by every follower at once.
         """
-        ranked = rank_members(set(NAMES))
+        ranked = rank_names(NAMES)
         gone = set(ranked[:WATCHERS])
         deputy, last = ranked[WATCHERS], ranked[-1]
         self.assertEqual(["store"], self.run_controller(deputy, 0.5, gone=gone))
@@ -103,19 +102,15 @@
         """Load pattern: the store is down, and every call is priced, also a refused one."""
         store = SlowStore()
         store.watches = [StoreError("away")] * 1000
-        follower = rank_members(set(NAMES))[-1]
+        follower = rank_names(NAMES)[-1]
         self.run_controller(follower, 10.0, seconds=10.0, store=store)
         self.assertLess(len(store.calls), 12)
 
     def test_vm_that_knows_nothing_asks_the_store_first(self):
         """Load pattern: all VMs start again at once."""
-        follower = rank_members(set(NAMES))[-1]
+        follower = rank_names(NAMES)[-1]
         self.assertEqual("store", self.run_controller(follower, 0.5, known=False)[0])
 
-    def test_rank_does_not_depend_on_who_computes_it(self):
-        """Guards against VMs that disagree on who watches."""
-        self.assertEqual(rank_members(set(NAMES)), rank_members({*NAMES[4:], *NAMES[:4]}))
-
     def test_address_of_a_registration_is_read(self):
         """Guards against a peer that cannot be reached because of its registration."""
         self.assertEqual("10.0.0.1:80", str(parse_address("10.0.0.1:80")))
