VMs tell each other which replicas are slow or silent

Observations travel with the polls of followers and between watchers, and count until a VM has answers of its own.

--- a/libs/catalog/src/zinnia_catalog/members.py
+++ b/libs/catalog/src/zinnia_catalog/members.py
@@ -61,3 +61,8 @@
     if len(before) < count:
         return [], 0
     return [known[vm] for vm in before], count
+
+
+def find_all_watchers(members: Mapping[str, Member]) -> list[Member]:
+    """Return all VMs that are to watch the store."""
+    return [row for row in members.values() if not find_watchers(members, row)[0]]
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -1,7 +1,7 @@
 """One entry VM: servers, feeds and sending, from start to graceful stop."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, fields, replace
 from random import Random
 
@@ -11,6 +11,7 @@
 from zinnia_catalog.collections import Collection
 from zinnia_catalog.members import rank_names
 from zinnia_catalog.objects import ObjectKind, ObjectStore, StoreError
+from zinnia_catalog.observations import Observation
 from zinnia_catalog.routes import CallerLimits
 from zinnia_entry.handler import TierHandler
 from zinnia_entry.logs import EventLog, RequestLog
@@ -21,7 +22,7 @@
 from zinnia_entry.server import CallerServer, open_listener
 from zinnia_entry.settings import EntrySettings, SettingsError
 from zinnia_entry.sources import FOLLOWED_KINDS, SourceController, make_member
-from zinnia_relay.beliefs import Beliefs
+from zinnia_relay.beliefs import Beliefs, ReplicaObserver
 from zinnia_relay.server import RelayServer
 from zinnia_sending.budgets import RetryBudget
 from zinnia_sending.dispatcher import Dispatcher
@@ -50,6 +51,21 @@
     callers: CallerProtocol
 
 
+class FleetObserver(ReplicaObserver):
+    """Connects what the fleet sees of replicas with what VMs tell each other."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    def list_observations(self) -> list[Observation]:
+        """Return the replicas that this VM itself sees as slow or failing."""
+        return self._fleet.list_observations(trio.current_time())
+
+    def take_observations(self, observations: Iterable[Observation]) -> None:
+        """Take what other VMs saw."""
+        self._fleet.take_observations(observations, trio.current_time())
+
+
 class EntryNode:
     """Everything that one VM runs.
 
@@ -83,7 +99,8 @@
         self.catalog = Catalog(adapter.decoder, self._fleet, trio.current_time)
         self._budget = RetryBudget(settings.retry_bounds, self.count_vms)
         self._members = Collection(ObjectKind.MEMBERS)
-        self._beliefs = Beliefs(FOLLOWED_KINDS, self.catalog.apply)
+        observer = FleetObserver(self._fleet)
+        self._beliefs = Beliefs(FOLLOWED_KINDS, self.catalog.apply, observer)
         self._sources = SourceController(
             settings,
             self._beliefs,
--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from zinnia_catalog.members import Member, find_watchers
+from zinnia_catalog.members import Member, find_all_watchers, find_watchers
 from zinnia_catalog.objects import HistoryLostError, ObjectKind, ObjectStore, StoreError
 from zinnia_entry.feeds import StoreFeed
 from zinnia_entry.metrics import Metrics
@@ -28,7 +28,7 @@
     ObjectKind.RELEASES: 4.0,
 }
 # How long a peer may hold its answer back while there is no news.
-POLL_WAIT_S = 1.0
+POLL_WAIT_S = 0.5
 # After its watchers were lost, a VM watches the store itself for this long.
 DIRECT_HOLD_S = 4.0
 # How long a VM looks for a deputy that has the store's news before it asks the store itself.
@@ -39,6 +39,8 @@
 DECIDE_INTERVAL_S = 0.5
 STORE_SOURCE = "store"
 RESCUE_INTERVAL_S = 0.4
+# How often watchers tell each other which replicas are slow.
+EXCHANGE_INTERVAL_S = 0.7
 # A VM that starts gives a peer this long to accept a connection and to tell it everything, before
 # it asks the store. After a loss of all VMs no peer accepts, and the wait delays the first answer.
 FIRST_CONNECT_S = 0.03
@@ -76,6 +78,8 @@
         self._direct: trio.CancelScope | None = None
         self._hold_until = 0.0
         self._source = ""
+        self._ranked_vms: set[str] = set()
+        self._watchers: list[Member] = []
 
     @property
     def is_direct(self) -> bool:
@@ -88,6 +92,7 @@
             await self._ask_any(FIRST_CONNECT_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._rescue)
+            nursery.start_soon(self._exchange_with_watchers)
             while True:
                 await self._follow_while_useful()
                 if self._direct is None and await self._should_watch():
@@ -196,6 +201,23 @@
                 continue
             await self._ask_any()
 
+    async def _exchange_with_watchers(self) -> None:
+        """While this VM watches the store, trade observations with the other watchers."""
+        while True:
+            await trio.sleep(EXCHANGE_INTERVAL_S)
+            if self._direct is None:
+                continue
+            for member in self._list_watchers():
+                if member.vm != self._own.vm:
+                    await self._ask_once(parse_address(member.peer_address), FIRST_ASK_S)
+
+    def _list_watchers(self) -> list[Member]:
+        members = self._get_members()
+        if members.keys() != self._ranked_vms:
+            self._ranked_vms = set(members)
+            self._watchers = find_all_watchers(members)
+        return self._watchers
+
     async def _ask_any(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Ask one peer for all that it knows."""
         peers = self._list_peers()
--- a/libs/relay/src/zinnia_relay/beliefs.py
+++ b/libs/relay/src/zinnia_relay/beliefs.py
@@ -1,12 +1,23 @@
 """The collections that a VM shares with its peers, with the age of what it knows."""
 
-from collections.abc import Callable
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable
 
 import trio
 
 from zinnia_catalog.collections import Collection
 from zinnia_catalog.objects import Change, ObjectKind
-from zinnia_relay.messages import Follow, KindUpdate, Update, apply_update, make_update
+from zinnia_catalog.observations import Observation, ObservationBoard
+from zinnia_relay.messages import (
+    Follow,
+    KindUpdate,
+    ObservedReplica,
+    Update,
+    apply_update,
+    make_update,
+    read_observations,
+    write_observations,
+)
 
 # The entries of living replicas may have lapsed while the store was away within this time.
 OUTAGE_MEMORY_S = 5.0
@@ -14,6 +25,18 @@
 Applier = Callable[[ObjectKind, tuple[Change, ...], bool], None]
 
 
+class ReplicaObserver(ABC):
+    """What a VM sees of replicas itself, and where it takes what others see."""
+
+    @abstractmethod
+    def list_observations(self) -> list[Observation]:
+        """Return the replicas that this VM itself sees as slow or failing."""
+
+    @abstractmethod
+    def take_observations(self, observations: Iterable[Observation]) -> None:
+        """Take what other VMs saw."""
+
+
 class Beliefs:
     """What this VM knows of each kind, and how recently that was confirmed.
 
@@ -23,14 +46,23 @@
         The kinds that are followed.
     apply : Callable
         Told of changes, and whether the store was away shortly before.
+    observer : ReplicaObserver, optional
+        Gives what this VM sees of replicas, and takes what others see.
     """
 
-    def __init__(self, kinds: tuple[ObjectKind, ...], apply: Applier) -> None:
+    def __init__(
+        self,
+        kinds: tuple[ObjectKind, ...],
+        apply: Applier,
+        observer: ReplicaObserver | None = None,
+    ) -> None:
         self.collections = {kind: Collection(kind) for kind in kinds}
         self._apply = apply
         self._confirmed_at: dict[ObjectKind, float] = {}
         self._failed_at: dict[ObjectKind, float] = {}
         self._news = trio.Event()
+        self._observer = observer
+        self._board = ObservationBoard(trio.current_time)
 
     @property
     def is_complete(self) -> bool:
@@ -64,17 +96,22 @@
     def make_follow(self, vm: str, wait_s: float) -> Follow:
         """Return a request for news."""
         revisions = {kind.value: item.revision for kind, item in self.collections.items()}
-        return Follow(vm, revisions, int(wait_s * 1000))
+        self._share(())
+        observed = write_observations(self._board.list_fresh())
+        return Follow(vm, revisions, int(wait_s * 1000), observed)
 
     async def answer(self, vm: str, follow: Follow) -> Update:
         """Return news for a peer, as soon as there is some."""
+        self._share(follow.observed)
         with trio.move_on_after(follow.wait_ms / 1000):
             while not self._has_news(follow):
                 await self._news.wait()
-        return Update(vm, [self._make_update(kind, follow) for kind in self.collections])
+        kinds = [self._make_update(kind, follow) for kind in self.collections]
+        return Update(vm, kinds, write_observations(self._board.list_fresh()))
 
     def take(self, update: Update) -> None:
         """Take a peer's news."""
+        self._share(update.observed)
         for row in update.kinds:
             kind = _find_kind(row.kind)
             if kind is None or kind not in self.collections or row.age_ms < 0:
@@ -85,6 +122,14 @@
             if row.revision >= self.collections[kind].revision:
                 self.confirm(kind, changes, row.age_ms / 1000)
 
+    def _share(self, observed: Iterable[ObservedReplica]) -> None:
+        """Note what this VM sees, and pass what others see on to it."""
+        if self._observer is None:
+            return
+        self._board.merge(self._observer.list_observations())
+        news = self._board.merge(read_observations(observed))
+        self._observer.take_observations(news)
+
     def _has_news(self, follow: Follow) -> bool:
         return any(
             collection.revision > follow.revisions.get(kind.value, 0) and collection.is_known
--- a/libs/relay/src/zinnia_relay/messages.py
+++ b/libs/relay/src/zinnia_relay/messages.py
@@ -10,7 +10,9 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from zinnia_catalog.collections import Collection
+from zinnia_catalog.ids import ReplicaId
 from zinnia_catalog.objects import Change, Changes, Listing, StoredObject
+from zinnia_catalog.observations import Observation
 
 
 class ObjectRecord(TBase):
@@ -80,6 +82,25 @@
         self.outage_age_ms = outage_age_ms
 
 
+class ObservedReplica(TBase):
+    """A replica that some VM saw as slow; ``slowness`` is in tenths of the usual latency."""
+
+    thrift_spec = (
+        None,
+        (1, TType.STRING, "replica", "UTF8", None),
+        (2, TType.I32, "slowness", None, None),
+        (3, TType.I32, "age_ms", None, None),
+    )
+
+    def __init__(self, replica: str = "", slowness: int = 0, age_ms: int = 0) -> None:
+        self.replica = replica
+        self.slowness = slowness
+        self.age_ms = age_ms
+
+
+OBSERVED_LIST = (TType.STRUCT, (ObservedReplica, ObservedReplica.thrift_spec), False)
+
+
 class Follow(TBase):
     """Asks for news after the given revisions, at the latest after ``wait_ms``."""
 
@@ -88,14 +109,20 @@
         (1, TType.STRING, "vm", "UTF8", None),
         (2, TType.MAP, "revisions", (TType.STRING, "UTF8", TType.I64, None, False), None),
         (3, TType.I64, "wait_ms", None, None),
+        (4, TType.LIST, "observed", OBSERVED_LIST, None),
     )
 
     def __init__(
-        self, vm: str = "", revisions: dict[str, int] | None = None, wait_ms: int = 0
+        self,
+        vm: str = "",
+        revisions: dict[str, int] | None = None,
+        wait_ms: int = 0,
+        observed: list[ObservedReplica] | None = None,
     ) -> None:
         self.vm = vm
         self.revisions = revisions or {}
         self.wait_ms = wait_ms
+        self.observed = observed or []
 
 
 class Update(TBase):
@@ -105,11 +132,18 @@
         None,
         (1, TType.STRING, "vm", "UTF8", None),
         (2, TType.LIST, "kinds", (TType.STRUCT, (KindUpdate, KindUpdate.thrift_spec), False), None),
+        (3, TType.LIST, "observed", OBSERVED_LIST, None),
     )
 
-    def __init__(self, vm: str = "", kinds: list[KindUpdate] | None = None) -> None:
+    def __init__(
+        self,
+        vm: str = "",
+        kinds: list[KindUpdate] | None = None,
+        observed: list[ObservedReplica] | None = None,
+    ) -> None:
         self.vm = vm
         self.kinds = kinds or []
+        self.observed = observed or []
 
 
 def encode(message: TBase) -> bytes:
@@ -126,6 +160,21 @@
     return message
 
 
+def write_observations(rows: Iterable[Observation]) -> list[ObservedReplica]:
+    """Return observations as they are sent."""
+    return [
+        ObservedReplica(row.replica, round(row.slowness * 10), int(row.age_s * 1000))
+        for row in rows
+    ]
+
+
+def read_observations(rows: Iterable[ObservedReplica]) -> list[Observation]:
+    """Return observations as they were received."""
+    return [
+        Observation(ReplicaId(row.replica), row.slowness / 10, row.age_ms / 1000) for row in rows
+    ]
+
+
 def make_update(
     collection: Collection, revision: int, age_ms: int, outage_age_ms: int
 ) -> KindUpdate:
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -1,6 +1,6 @@
 """The replicas of all services, and the choice of one for a request."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 from random import Random
 
@@ -8,6 +8,7 @@
 
 from zinnia_catalog.catalog import CatalogListener
 from zinnia_catalog.ids import DataCentreId, ReplicaId, ServiceName, VersionId
+from zinnia_catalog.observations import Observation
 from zinnia_catalog.releases import ReleaseOrder
 from zinnia_catalog.replicas import ReplicaEntry
 from zinnia_catalog.routes import Configuration, ServiceLimits
@@ -29,6 +30,8 @@
 # Relative latency added for a replica that is warming up.
 COLD_PENALTY = 0.6
 EVACUATION_COLD_S = 3.0
+# Relative latency from which other VMs are told of a replica.
+TOLD_SLOWNESS = 2.5
 # Part of its requests that a replica is assumed to accept at least.
 LEAST_ACCEPTANCE = 0.05
 
@@ -236,6 +239,22 @@
             replica.take_warmup(limits, self._warmup_factor(), now)
         self.versions.count_send(replica.entry.service, replica.entry.version)
 
+    def list_observations(self, now: float) -> list[Observation]:
+        """Return the replicas that this VM itself sees as slow or failing."""
+        found = []
+        for replica in self._replicas.values():
+            slowness = replica.health.get_own_slowness(now)
+            if slowness >= TOLD_SLOWNESS:
+                found.append(Observation(replica.id, slowness, 0.0))
+        return found
+
+    def take_observations(self, observations: Iterable[Observation], now: float) -> None:
+        """Take what other VMs saw."""
+        for row in observations:
+            replica = self._replicas.get(row.replica)
+            if replica is not None:
+                replica.health.take_report(row.slowness, now - row.age_s)
+
     def discard_expired(self, now: float) -> None:
         """Close connections that stay idle for too long."""
         for replica in self._replicas.values():
--- a/libs/sending/src/zinnia_sending/health.py
+++ b/libs/sending/src/zinnia_sending/health.py
@@ -9,6 +9,8 @@
 MAX_SLOWNESS = 12.0
 # Without new samples, half of what speaks against a replica is forgotten in this time, in seconds.
 FORGET_HALF_LIFE_S = 2.5
+# What a VM has seen itself is told to others for this long, in seconds.
+RECENT_S = 1.0
 # Failures in a row after which a replica gets no work but single trials.
 FAILURES_TO_SUSPEND = 2
 FIRST_SUSPENSION_S = 0.4
@@ -34,6 +36,8 @@
         "_failures",
         "_in_flight",
         "_rejections",
+        "_reported_at",
+        "_reported_slowness",
         "_sampled_at",
         "_slowness",
         "_suspended_until",
@@ -45,6 +49,8 @@
         self._slowness = 1.0
         self._rejections = 0.0
         self._sampled_at = now
+        self._reported_slowness = 1.0
+        self._reported_at = 0.0
         self._failures = 0
         self._suspended_until = 0.0
         self._suspension_s = FIRST_SUSPENSION_S
@@ -68,11 +74,30 @@
         A request that is still in flight shows how slow the replica is at least.
         """
         known = self._recall_slowness(now) if self._slowness != 1.0 else 1.0
+        if self._reported_slowness > known and self._reported_at > self._sampled_at:
+            known = max(known, self._recall_report(now))
         if not self._in_flight:
             return known
         started_at, usual_s = next(iter(self._in_flight.values()))
         return max(known, min(MAX_SLOWNESS, (now - started_at) / usual_s))
 
+    def take_report(self, slowness: float, seen_at: float) -> None:
+        """Take what another VM saw; answers that this VM gets later count more."""
+        self._reported_slowness = min(slowness, MAX_SLOWNESS)
+        self._reported_at = seen_at
+
+    def get_own_slowness(self, now: float) -> float:
+        """Return what this VM itself has seen within ``RECENT_S``, 1.0 if nothing is unusual."""
+        if self._failures >= FAILURES_TO_SUSPEND:
+            return MAX_SLOWNESS
+        pending = 1.0
+        if self._in_flight:
+            started_at, usual_s = next(iter(self._in_flight.values()))
+            pending = min(MAX_SLOWNESS, (now - started_at) / usual_s)
+        if now - self._sampled_at > RECENT_S:
+            return pending
+        return max(pending, self._recall_slowness(now))
+
     def get_rejection_rate(self, now: float) -> float:
         """Return the part of requests that the replica did not run, 0 to 1."""
         return self._rejections * self._fade(now) if self._rejections else 0.0
@@ -130,6 +155,10 @@
         self._slowness = _blend(known_slowness, slowness, SPEED_WEIGHT)
         self._rejections = _blend(known_rejections, rejection, REJECTION_WEIGHT)
 
+    def _recall_report(self, now: float) -> float:
+        fade = 0.5 ** ((now - self._reported_at) / FORGET_HALF_LIFE_S)
+        return 1.0 + (self._reported_slowness - 1.0) * fade
+
     def _recall_slowness(self, now: float) -> float:
         return 1.0 + (self._slowness - 1.0) * self._fade(now)
 
--- a/libs/sending/tests/test_health.py
+++ b/libs/sending/tests/test_health.py
@@ -74,3 +74,23 @@
         self.assertAlmostEqual(4.0, self.health.get_slowness(1.4))
         self.health.finish(1)
         self.assertEqual(1.0, self.health.get_slowness(1.4))
+
+    def test_report_of_another_vm_counts_until_this_vm_knows_better(self):
+        """Load pattern: replicas of many shards are slow, and each VM asks each of them rarely."""
+        self.health.take_report(8.0, 1.0)
+        self.assertGreater(self.health.get_slowness(1.5), 5.0)
+        self.health.record_answer(1.0, 2.0)
+        self.assertEqual(1.0, self.health.get_slowness(2.1))
+
+    def test_report_of_another_vm_is_not_told_on_as_an_own_one(self):
+        """Guards against VMs that keep a verdict alive by telling it to each other."""
+        self.health.take_report(8.0, 1.0)
+        self.assertEqual(1.0, self.health.get_own_slowness(1.1))
+
+    def test_hanging_and_failing_replicas_are_told(self):
+        """Load pattern: replicas fall silent."""
+        self.health.begin(1, 0.02, 1.0)
+        self.assertGreater(self.health.get_own_slowness(1.2), 5.0)
+        self.health.finish(1)
+        self.health.suspend(2.0)
+        self.assertGreater(self.health.get_own_slowness(3.0), 5.0)
