--- a/libs/entry/src/zinnia_entry/handler.py
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -48,7 +48,7 @@
     seal_lag_s: float = 0.0
 
     def record_lag(self, lag_s: float) -> None:
-        """Note how late an answer was sealed; a larger delay counts at once and fades slowly."""
+        """Note the delay from a planned seal to its reply; a larger one counts at once."""
         self.seal_lag_s = max(lag_s, self.seal_lag_s * LAG_MEMORY + lag_s * (1 - LAG_MEMORY))
 
 
@@ -166,11 +166,11 @@
             self._finish(request, facts, route, result, None, outcome.trace)
             return self._protocol.make_answer(answer)
         self._metrics.missing_shards.inc(outcome.missing)
-        if outcome.sealed_late_s is not None:
-            self._get_state(route).record_lag(outcome.sealed_late_s)
         body = merge_records((answer.body for answer in outcome.answers), route.top_k)
         signatures = [answer.signature for answer in outcome.answers]
         reply = self._protocol.make_merged(signatures, outcome.missing, body)
+        if outcome.planned_seal_at is not None:
+            self._get_state(route).record_lag(trio.current_time() - outcome.planned_seal_at)
         self._finish(request, facts, route, result, None, outcome.trace, outcome.missing)
         return reply
 
--- a/libs/sending/src/zinnia_sending/health.py
+++ b/libs/sending/src/zinnia_sending/health.py
@@ -11,6 +11,8 @@
 FORGET_HALF_LIFE_S = 2.5
 # What a VM has seen itself is told to others for this long, in seconds.
 RECENT_S = 1.0
+# A request without an answer for this long is told to others; a short pause of a replica is not.
+SILENCE_TOLD_S = 0.4
 # Failures in a row after which a replica gets no work but single trials.
 FAILURES_TO_SUSPEND = 2
 FIRST_SUSPENSION_S = 0.4
@@ -90,13 +92,13 @@
         """Return what this VM itself has seen within ``RECENT_S``, 1.0 if nothing is unusual."""
         if self._failures >= FAILURES_TO_SUSPEND:
             return MAX_SLOWNESS
-        pending = 1.0
         if self._in_flight:
             started_at, usual_s = next(iter(self._in_flight.values()))
-            pending = min(MAX_SLOWNESS, (now - started_at) / usual_s)
+            if now - started_at > SILENCE_TOLD_S:
+                return min(MAX_SLOWNESS, (now - started_at) / usual_s)
         if now - self._sampled_at > RECENT_S:
-            return pending
-        return max(pending, self._recall_slowness(now))
+            return 1.0
+        return self._recall_slowness(now)
 
     def get_rejection_rate(self, now: float) -> float:
         """Return the part of requests that the replica did not run, 0 to 1."""
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -25,7 +25,7 @@
 # Time before the target latency at which an incomplete answer is sealed, as a part of the target,
 # beside the delay that this VM has seen between that time and its reply.
 SEAL_MARGIN_PART = 0.07
-MIN_SEAL_MARGIN_S = 0.006
+MIN_SEAL_MARGIN_S = 0.007
 # An answer that is sealed later than this waited for parts, not for the processor.
 LONGEST_LAG_S = 0.03
 # Time before the end of a request at which it is given up.
@@ -68,8 +68,8 @@
 
     ``answers`` holds the parts that are in; ``failure`` is a replica's own failure, to be passed on
     if there is no answer. ``may_have_run`` tells whether the request may have run anywhere.
-    ``retry_after_s`` is when another attempt may find a replica. ``sealed_late_s`` is how long
-    after the planned time an incomplete answer was sealed, None if it was not sealed by time.
+    ``retry_after_s`` is when another attempt may find a replica. ``planned_seal_at`` is
+    the time at which an incomplete answer was to be sealed, None if it was not sealed by time.
     """
 
     verdict: RunVerdict
@@ -79,7 +79,7 @@
     may_have_run: bool
     retry_after_s: float
     trace: tuple[TraceStep, ...]
-    sealed_late_s: float | None = None
+    planned_seal_at: float | None = None
 
 
 class RequestRun:
@@ -298,7 +298,7 @@
             may_have_run,
             retry_after_s,
             self.trace,
-            late_s if is_by_time else None,
+            self._seal_at if is_by_time else None,
         )
 
     def _judge(self, missing: int, may_have_run: bool) -> RunVerdict:
