--- a/libs/entry/src/zinnia_entry/settings.py
+++ b/libs/entry/src/zinnia_entry/settings.py
@@ -1,6 +1,6 @@
 """Settings of the entry process, independent of the file that they come from."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from zinnia_catalog.ids import DataCentreId, VmName
 from zinnia_sending.budgets import RetryBounds
@@ -21,7 +21,8 @@
 class EntrySettings:
     """What one VM needs to serve.
 
-    ``seeds`` are peer addresses of some other VMs. Times are in seconds.
+    ``seeds`` are peer addresses of some other VMs; ``expected_vms`` is the least number of VMs that
+    bounds over the fleet are shared among. Times are in seconds.
     """
 
     vm: VmName
@@ -33,12 +34,8 @@
     store: Address
     seeds: tuple[Address, ...]
     retry_bounds: RetryBounds
-    drain_timeout_s: float
     grace_period_s: float
-    rollback_s: float
-    readiness_path: str = "/"
     expected_vms: int = 1
-    unknown_fields: tuple[str, ...] = field(default=())
 
 
 class SettingsError(Exception):
--- a/libs/entry/tests/fakes.py
+++ b/libs/entry/tests/fakes.py
@@ -1,5 +1,4 @@
-from zinnia_catalog.collections import Collection
-from zinnia_catalog.objects import Changes, Listing, ObjectKind, ObjectStore
+from zinnia_catalog.objects import Changes, Listing, ObjectStore
 from zinnia_entry.settings import Address, EntrySettings
 from zinnia_sending.budgets import RetryBounds
 from zinnia_sending.events import EventSink
@@ -63,12 +62,6 @@
         "store": Address("127.0.0.1", 2),
         "seeds": (),
         "retry_bounds": RetryBounds(0.2, 50.0),
-        "drain_timeout_s": 3.0,
         "grace_period_s": 6.0,
-        "rollback_s": 5.0,
     }
     return EntrySettings(**(values | fields))
-
-
-def make_collection(kind=ObjectKind.REPLICAS):
-    return Collection(kind)
