--- a/libs/routing/src/zinnia_routing/attempts.py
+++ b/libs/routing/src/zinnia_routing/attempts.py
@@ -6,7 +6,7 @@
 from zinnia_model.queries import Query
 from zinnia_model.reasons import Reason
 from zinnia_model.subrequests import Batch, SubRequest, SubResult
-from zinnia_routing.context import Context
+from zinnia_routing.context import OWNER_REASONS, Context
 from zinnia_routing.merge import ResultMerge
 from zinnia_routing.plan import Target
 
@@ -41,6 +41,17 @@
         self.retry_at = 0.0
         self.failed_at = 0.0
 
+    def may_retry(self, reason: Reason, max_retries: int) -> bool:
+        """Whether the shard may be sent again after a failure.
+
+        A refusal of the owner cost the backend servers nothing, so only time limits these.
+        """
+        return reason in OWNER_REASONS or self.retries < max_retries
+
+    def note_retry(self, reason: Reason) -> None:
+        """Count another send after a failure."""
+        self.retries += reason not in OWNER_REASONS
+
 
 class Attempt:
     """One sub-request that was sent; one that ``warms_up`` a replica runs to its end."""
--- a/libs/routing/src/zinnia_routing/commands.py
+++ b/libs/routing/src/zinnia_routing/commands.py
@@ -14,7 +14,6 @@
     REROUTE_PAUSE_S,
     RETRY_MARGIN_S,
     SEAL_MARGIN_S,
-    UNCHARGED_REASONS,
     Context,
 )
 from zinnia_routing.merge import ResultMerge, Verdict
@@ -134,13 +133,11 @@
         reason = result.reason or Reason.INTERNAL
         if reason is Reason.SNAPSHOT_GONE:
             return self._replan()
-        owner_refused = reason in OWNER_REASONS
-        if not owner_refused and self._state.retries >= self._context.choice.max_retries:
+        if not self._state.may_retry(reason, self._context.choice.max_retries):
             return False
-        if reason not in UNCHARGED_REASONS and not self._context.budget.take(reason):
+        if not self._context.charge_retry(reason):
             return False
-        # A refusal of the owner cost the backend servers nothing, so only time limits these.
-        self._state.retries += not owner_refused
+        self._state.note_retry(reason)
         self._retry_reason = reason
         return True
 
--- a/libs/routing/src/zinnia_routing/context.py
+++ b/libs/routing/src/zinnia_routing/context.py
@@ -109,3 +109,20 @@
             self.outstanding[replica] = left
         else:
             del self.outstanding[replica]
+
+    def charge_retry(self, reason: Reason) -> bool:
+        """Pay for another send after a failure; return whether it may be sent."""
+        return reason in UNCHARGED_REASONS or self.budget.take(reason)
+
+    def has_free_slot(self, replica: ReplicaId) -> bool:
+        """Whether a replica can run a hedge at once.
+
+        A cold replica within its limit can: it is slower than a warm one, but not by as much as a
+        straggler. Without it, a shard with one warm replica could not be hedged at all.
+        """
+        view = self.topology.view(replica)
+        if view is None or view.queue_length > 0:
+            return False
+        if view.cold and view.in_flight >= view.limit:
+            return False
+        return self.outstanding.get(replica, 0) < view.limit
--- a/libs/routing/src/zinnia_routing/runs.py
+++ b/libs/routing/src/zinnia_routing/runs.py
@@ -24,7 +24,6 @@
     RETRY_MARGIN_S,
     SEAL_MARGIN_S,
     SUSPECT_PAUSE_S,
-    UNCHARGED_REASONS,
     Context,
 )
 from zinnia_routing.merge import ResultMerge, Verdict
@@ -233,8 +232,7 @@
             self._lose(state, self._refusal, now)
             return
         late = self._query.deadline_at - now < RETRY_MARGIN_S
-        spent = state.retries >= self._context.choice.max_retries
-        if late or (spent and reason not in OWNER_REASONS):
+        if late or not state.may_retry(reason, self._context.choice.max_retries):
             self._lose(state, reason, now)
             return
         excluded = state.excluded
@@ -252,13 +250,11 @@
             can_change = first or state.rerouted
             self._look_again(state, reason if can_change else None, reason, now)
             return
-        charged = not first and reason not in UNCHARGED_REASONS
-        if charged and not self._context.budget.take(reason):
+        if not first and not self._context.charge_retry(reason):
             self._look_again(state, Reason.RETRY_BUDGET_EMPTY, reason, now)
             return
         if not first:
-            # A refusal of the owner cost the backend servers nothing, so only time limits these.
-            state.retries += reason not in OWNER_REASONS
+            state.note_retry(reason)
             self._context.counters.count_retry(reason)
             self._note(now, "retry", f"{state.shard} {target.replica} {reason.value}")
         self._book.add(state, target, self._merge, now)
@@ -316,7 +312,7 @@
         if target is None:
             return NEVER
         if rule.charge:
-            if not self._has_free_slot(target.replica):
+            if not context.has_free_slot(target.replica):
                 return HEDGE_PAUSE_S
             if not context.budget.take(Reason.STRAGGLER):
                 return HEDGE_PAUSE_S
@@ -333,19 +329,6 @@
         running = {attempt.replica for attempt in self._book.list_open(state)}
         return [replica for replica in state.excluded if replica not in running]
 
-    def _has_free_slot(self, replica: ReplicaId) -> bool:
-        """Whether a replica can run a hedge at once.
-
-        A cold replica within its limit can: it is slower than a warm one, but not by as much as a
-        straggler. Without it, a shard with one warm replica could not be hedged at all.
-        """
-        view = self._context.topology.view(replica)
-        if view is None or view.queue_length > 0:
-            return False
-        if view.cold and view.in_flight >= view.limit:
-            return False
-        return self._context.outstanding.get(replica, 0) < view.limit
-
     # Replans
 
     def _handle_gone(self, now: float) -> None:
