An unexpected error ends one request or one send, not the process

Cause: reading the diff as a newcomer; any error but a broken connection would have ended the process. Code that nothing calls is removed.

--- a/libs/entry/src/zinnia_entry/server.py
+++ b/libs/entry/src/zinnia_entry/server.py
@@ -107,6 +107,8 @@
             await _CallerConnection(self, connection).run()
         except OSError:
             pass  # The caller is gone; its request was cancelled and logged where it ran.
+        except Exception as error:  # One request must not end the process and all others with it.
+            self._events.note("internal_error", where="caller connection", cause=repr(error))
         finally:
             self.connections -= 1
             self._closed.set()
@@ -235,12 +237,19 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch_caller, nursery.cancel_scope)
-                reply = await self._server._handler.handle(request)
+                reply = await self._handle(request)
                 nursery.cancel_scope.cancel()
         finally:
             self._server.busy -= 1
         return reply
 
+    async def _handle(self, request: CallerRequest) -> CallerReply:
+        try:
+            return await self._server._handler.handle(request)
+        except Exception as error:  # The caller gets an answer that promises nothing.
+            self._server._events.note("internal_error", where="request", cause=repr(error))
+            return CallerReply(500, ((b"connection", b"close"),), b"internal error")
+
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Cancel the request when its caller closes the connection."""
         await trio.lowlevel.wait_readable(self._socket)
--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -81,11 +81,6 @@
         self._ranked_vms: set[str] = set()
         self._watchers: list[Member] = []
 
-    @property
-    def is_direct(self) -> bool:
-        """Whether this VM watches the store itself."""
-        return self._direct is not None
-
     async def run(self) -> None:
         """Follow the best source until cancelled."""
         with trio.move_on_after(FIRST_ASK_S):
--- a/libs/entry/tests/test_server.py
+++ b/libs/entry/tests/test_server.py
@@ -18,12 +18,15 @@
     def __init__(self):
         self.requests = []
         self.delay_s = 0.0
+        self.error = None
         self.started = trio.Event()
         self.cancelled = trio.Event()
 
     async def handle(self, request):
         self.requests.append(request)
         self.started.set()
+        if self.error is not None:
+            raise self.error
         try:
             await trio.sleep(self.delay_s)
         except trio.Cancelled:
@@ -130,6 +133,18 @@
 
         self.run_server(test)
 
+    def test_request_that_cannot_be_handled_leaves_the_others_alone(self):
+        """Guards against one request that ends the process and all others with it."""
+
+        async def test(handler, server, port):
+            handler.error = KeyError("route")
+            self.assertIn(b" 500 ", await self.exchange(port, GET))
+            handler.error = None
+            reply = await self.exchange(port, GET.replace(b"Host", b"Connection: close\r\nHost"))
+            self.assertIn(b"/x|", reply)
+
+        self.run_server(test)
+
     def test_request_of_a_caller_that_leaves_is_cancelled(self):
         """Load pattern: callers leave before their deadline."""
 
--- a/libs/sending/src/zinnia_sending/connections.py
+++ b/libs/sending/src/zinnia_sending/connections.py
@@ -43,14 +43,13 @@
 class Connection:
     """One connection to a replica."""
 
-    __slots__ = ("_socket", "expires_at", "opened_at", "used_at", "served")
+    __slots__ = ("_socket", "expires_at", "opened_at", "used_at")
 
     def __init__(self, sock: socket.socket, now: float) -> None:
         self._socket = sock
         self.opened_at = now
         self.used_at = now
         self.expires_at = now + DEFAULT_IDLE_S
-        self.served = 0
 
     def close(self) -> None:
         """Close the socket; a replica drops what still runs on it."""
@@ -133,21 +132,11 @@
         self._idle: list[Connection] = []
         self._open: set[Connection] = set()
 
-    @property
-    def open_count(self) -> int:
-        """Number of open connections, idle or not."""
-        return len(self._open)
-
     @property
     def has_room(self) -> bool:
         """Whether a request can be sent without exceeding the limit."""
         return bool(self._idle) or len(self._open) < self.limit
 
-    @property
-    def idle_count(self) -> int:
-        """Number of idle connections."""
-        return len(self._idle)
-
     def take_idle(self, now: float, must_be_proven: bool) -> Connection | None:
         """Return an idle connection that still looks usable, or None."""
         while self._idle:
@@ -196,7 +185,6 @@
             return
         connection.used_at = now
         connection.expires_at = now + lifetime_s
-        connection.served += 1
         self._idle.append(connection)
 
     def discard(self, connection: Connection) -> None:
--- a/libs/sending/src/zinnia_sending/dispatcher.py
+++ b/libs/sending/src/zinnia_sending/dispatcher.py
@@ -60,18 +60,24 @@
     async def _carry_out(self, attempt: Attempt) -> None:
         exchange = None
         with attempt.scope:
-            exchange = await attempt.replica.exchange(
-                attempt.request.prepared,
-                self._protocol,
-                attempt.request.end_at,
-                attempt.request.route.is_idempotent,
-            )
+            exchange = await self._exchange(attempt)
         if exchange is None:
             age_s = trio.current_time() - attempt.started_at
             exchange = Exchange(ExchangeResult.CANCELLED, age_s, None, "given up")
         self._record(attempt, exchange)
         attempt.finish(exchange)
 
+    async def _exchange(self, attempt: Attempt) -> Exchange:
+        request = attempt.request
+        try:
+            return await attempt.replica.exchange(
+                request.prepared, self._protocol, request.end_at, request.route.is_idempotent
+            )
+        except Exception as error:  # One send must not end the process and all others with it.
+            self._events.note("internal_error", where="exchange", cause=repr(error))
+            age_s = trio.current_time() - attempt.started_at
+            return Exchange(ExchangeResult.BROKEN, age_s, None, "internal error")
+
     def _record(self, attempt: Attempt, exchange: Exchange) -> None:
         now = trio.current_time()
         replica, latency = attempt.replica, attempt.request.latency
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -149,18 +149,10 @@
         """Take the order of a version move."""
         self.versions.change_order(service, order, trio.current_time())
 
-    def list_replicas(self, service: ServiceName) -> list[Replica]:
-        """Return all replicas of a service."""
-        return self._services.get(service, [])
-
     def get_replica(self, replica: ReplicaId) -> Replica | None:
         """Return a replica by its id."""
         return self._replicas.get(replica)
 
-    def count_replicas(self) -> int:
-        """Return the number of known replicas."""
-        return len(self._replicas)
-
     def explain_absence(
         self, service: ServiceName, tried: Collection[ReplicaId], now: float
     ) -> dict[ReplicaId, str]:
--- a/libs/sending/src/zinnia_sending/health.py
+++ b/libs/sending/src/zinnia_sending/health.py
@@ -141,11 +141,6 @@
         self._suspension_s = min(MAX_SUSPENSION_S, self._suspension_s * 2)
         return True
 
-    def suspend(self, now: float) -> None:
-        """Give the replica no work until a trial succeeds."""
-        self._failures = max(self._failures, FAILURES_TO_SUSPEND - 1)
-        self.record_failure(now)
-
     def _clear_failures(self) -> None:
         self._failures = 0
         self._suspension_s = FIRST_SUSPENSION_S
--- a/libs/sending/tests/fakes.py
+++ b/libs/sending/tests/fakes.py
@@ -17,6 +17,7 @@
 from zinnia_sending.budgets import RetryBounds, RetryBudget
 from zinnia_sending.events import NullSink
 from zinnia_sending.fleet import Fleet
+from zinnia_sending.health import FAILURES_TO_SUSPEND
 from zinnia_sending.latency import LatencyHistogram
 from zinnia_sending.runs import RequestRun
 
@@ -53,6 +54,12 @@
     return fleet
 
 
+def fail_twice(health, now):
+    """Let a replica fail as often as suspends it."""
+    for _ in range(FAILURES_TO_SUSPEND):
+        health.record_failure(now)
+
+
 def answer(body=b"x" * 16, status=200, signature=b"seal"):
     result = ExchangeResult.ANSWERED if status < 500 else ExchangeResult.FAILED
     return Exchange(result, 0.01, ReplicaAnswer(status, (), body, signature))
--- a/libs/sending/tests/test_dispatcher.py
+++ b/libs/sending/tests/test_dispatcher.py
@@ -21,14 +21,16 @@
 
 
 class HangingReplicaTest(unittest.TestCase):
-    def run_attempts(self, count, act):
-        """Send to a replica that never answers; return it and the results."""
+    def run_attempts(self, count, act, error=None):
+        """Send to a replica that never answers, or fails; return it and the results."""
 
         async def main():
             fleet = make_fleet(make_entry("r"))
             replica = fleet.get_replica("r")
 
             async def hang(*_):
+                if error is not None:
+                    raise error
                 await trio.sleep_forever()
 
             replica.exchange = hang
@@ -95,3 +97,12 @@
         _, results = self.run_attempts(1, cancel)
         self.assertIsInstance(results[0], Exchange)
         self.assertEqual(0.0, results[0].duration_s)
+
+    def test_unexpected_error_breaks_one_exchange_only(self):
+        """Guards against one send that ends the process and all others with it."""
+
+        async def wait(dispatcher, attempt):
+            await trio.sleep(0.01)
+
+        _, results = self.run_attempts(1, wait, error=KeyError("header"))
+        self.assertEqual([ExchangeResult.BROKEN], [row.result for row in results])
--- a/libs/sending/tests/test_health.py
+++ b/libs/sending/tests/test_health.py
@@ -1,5 +1,7 @@
 import unittest
 
+from fakes import fail_twice
+
 from zinnia_sending.health import (
     FIRST_SUSPENSION_S,
     FORGET_HALF_LIFE_S,
@@ -21,7 +23,7 @@
 
     def test_suspended_replica_is_tried_again_one_request_at_a_time(self):
         """Guards against full load on a replica that may still be down."""
-        self.health.suspend(1.0)
+        fail_twice(self.health, 1.0)
         now = 1.0 + FIRST_SUSPENSION_S
         self.assertIs(Condition.TRIAL_DUE, self.health.get_condition(now))
         self.health.start_trial(now)
@@ -29,7 +31,7 @@
 
     def test_answer_ends_the_suspension(self):
         """Guards against a replica that stays unused after it has recovered."""
-        self.health.suspend(1.0)
+        fail_twice(self.health, 1.0)
         self.health.record_answer(1.0, 2.0)
         self.assertIs(Condition.GOOD, self.health.get_condition(2.0))
 
@@ -92,7 +94,7 @@
         self.health.begin(1, 0.02, 1.0)
         self.assertGreater(self.health.get_own_slowness(1.5), 5.0)
         self.health.finish(1)
-        self.health.suspend(2.0)
+        fail_twice(self.health, 2.0)
         self.assertGreater(self.health.get_own_slowness(3.0), 5.0)
 
     def test_short_pause_is_not_told(self):
