A removal told by a peer counts by the peer's view of the store

The VM was one of those that the store turned away; it learned of the removal from a peer and held it back for 2.2 s as if the store had been away for everyone, and looked at held removals twice a second.

--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -29,7 +29,8 @@
 from zinnia_sending.fleet import Fleet
 from zinnia_sending.protocol import ReplicaProtocol
 
-UPKEEP_INTERVAL_S = 0.5
+# Bounds how much longer than needed a replica is kept whose entry lapsed in an outage.
+UPKEEP_INTERVAL_S = 0.2
 # The settings file may change without a signal.
 RELOAD_INTERVAL_S = 5.0
 # After a stop signal, requests are still taken while the balancer notices the lost readiness.
--- a/libs/relay/src/zinnia_relay/beliefs.py
+++ b/libs/relay/src/zinnia_relay/beliefs.py
@@ -83,10 +83,9 @@
             self._news.set()
             self._news = trio.Event()
 
-    def note_failure(self, kind: ObjectKind, age_s: float = 0.0) -> None:
-        """Note that the store did not serve a call for a kind ``age_s`` seconds ago."""
-        failed_at = trio.current_time() - age_s
-        self._failed_at[kind] = max(failed_at, self._failed_at.get(kind, failed_at))
+    def note_failure(self, kind: ObjectKind) -> None:
+        """Note that the store did not serve a call for a kind."""
+        self._failed_at[kind] = trio.current_time()
 
     def is_fresh(self, limits: dict[ObjectKind, float]) -> bool:
         """Whether every kind was confirmed within its limit in seconds."""
@@ -116,12 +115,18 @@
             kind = _find_kind(row.kind)
             if kind is None or kind not in self.collections or row.age_ms < 0:
                 continue
-            if row.outage_age_ms >= 0:
-                self.note_failure(kind, row.outage_age_ms / 1000)
+            self._take_outage(kind, row.outage_age_ms)
             changes = apply_update(self.collections[kind], row)
             if row.revision >= self.collections[kind].revision:
                 self.confirm(kind, changes, row.age_ms / 1000)
 
+    def _take_outage(self, kind: ObjectKind, outage_age_ms: int) -> None:
+        """Take a peer's word on the store; that it turns this VM away says nothing of the store."""
+        if outage_age_ms < 0:
+            self._failed_at.pop(kind, None)
+        else:
+            self._failed_at[kind] = trio.current_time() - outage_age_ms / 1000
+
     def _share(self, observed: Iterable[ObservedReplica]) -> None:
         """Note what this VM sees, and pass what others see on to it."""
         if self._observer is None:
--- a/libs/relay/tests/test_relay.py
+++ b/libs/relay/tests/test_relay.py
@@ -118,6 +118,25 @@
 
         self.run_pair(test)
 
+    def test_removal_from_a_peer_counts_by_the_peers_view_of_the_store(self):
+        """Load pattern: the store turns one VM away while replicas leave without draining.
+
+        Guards against holding a removal back as if the store had been away for everyone: the VM
+        still sent to the replica 3.3 s after it had left (hunt of bellsound-search, trouble-1 with
+        seed 358218551339).
+        """
+
+        async def test(leader, follower, peer):
+            leader.learn(ObjectKind.REPLICAS, "r1", 8)
+            await peer.poll(0.0)
+            follower.beliefs.note_failure(ObjectKind.REPLICAS)
+            collection = leader.beliefs.collections[ObjectKind.REPLICAS]
+            leader.beliefs.confirm(ObjectKind.REPLICAS, collection.replace(Listing((), 9)))
+            await peer.poll(0.0)
+            self.assertEqual((ObjectKind.REPLICAS, [("r1", True)], False), follower.applied[-1])
+
+        self.run_pair(test)
+
     def test_silent_peer_is_lost_soon(self):
         """Load pattern: a watcher freezes, or the connection to it goes silent."""
 
