A cancelled run keeps its place until the backend server has dropped it

After a cancel the place was held for 3 ms only; a backend server that is scheduled later reads the next request before the end of the cancelled one. And between the check of the ownership and the write lie several steps of the scheduler; a process paused there wrote its request after the takeover. Ruled out: the wait of a new owner (1 s; the old process had been stopped for longer). Change: the writing side is closed and the place is held until the peer closes, 250 ms at most; the ownership is checked again in the step that writes, and a request withheld there is reported as not run. Before: both new dispatcher tests fail with the old steps put back.

--- a/libs/backends/src/zinnia_backends/connections.py
+++ b/libs/backends/src/zinnia_backends/connections.py
@@ -2,6 +2,8 @@
 
 import socket
 from abc import ABC, abstractmethod
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import httpcore
@@ -10,6 +12,7 @@
 from zinnia_model.errors import ZinniaError
 
 Headers = list[tuple[bytes, bytes]]
+READ_BYTES = 65536
 _WRITE_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -22,6 +25,10 @@
         self.refused = refused
 
 
+class SendWithheldError(ZinniaError):
+    """The check just before the write did not allow the request, so nothing was sent."""
+
+
 class ConnectionLostError(ZinniaError):
     """A connection broke before the whole response; ``Connection.written`` tells what was sent."""
 
@@ -60,15 +67,25 @@
         """Whether any byte of the latest request may have left this VM."""
 
     @abstractmethod
-    async def exchange(self, request: WireRequest) -> WireResponse:
+    async def exchange(
+        self, request: WireRequest, may_send: Callable[[], bool] | None = None
+    ) -> WireResponse:
         """Send one request and return its whole response.
 
+        ``may_send`` is asked in the step that writes, with nothing else run in between.
+
         Raises
         ------
         ConnectionLostError
             The connection broke or the peer violated HTTP.
+        SendWithheldError
+            ``may_send`` returned false; the connection must be closed.
         """
 
+    @abstractmethod
+    async def cancel(self) -> None:
+        """Tell the peer to drop the running request; return when it has closed its end."""
+
     @abstractmethod
     def is_reusable(self) -> bool:
         """Return whether no answer is outstanding and the peer has not closed."""
@@ -96,6 +113,7 @@
         self._stream = stream
         self._pending: list[bytes] = []
         self.written = False
+        self.may_send: Callable[[], bool] | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         await self._flush()
@@ -112,6 +130,8 @@
         if not self._pending:
             return
         data, self._pending = b"".join(self._pending), []
+        if self.may_send is not None and not self.may_send():
+            raise SendWithheldError("the replica may not get this request now; nothing was sent")
         self.written = True
         try:
             await self._stream.send_all(data)
@@ -119,7 +139,18 @@
             raise httpcore.WriteError(str(error)) from error
 
     async def aclose(self) -> None:
-        self.close()
+        # httpcore calls this when an exchange is cancelled. The reading side stays open for
+        # ``wait_for_end``; the owner of the connection closes the socket.
+        self.end_writing()
+
+    def end_writing(self) -> None:
+        with suppress(OSError):
+            self._stream.socket.shutdown(socket.SHUT_WR)
+
+    async def wait_for_end(self) -> None:
+        with suppress(*_WRITE_ERRORS):
+            while await self._stream.receive_some(READ_BYTES):
+                pass
 
     def close(self) -> None:
         self._stream.socket.close()
@@ -143,13 +174,16 @@
         """Whether any byte of the latest request was handed to the socket."""
         return self._stream.written
 
-    async def exchange(self, request: WireRequest) -> WireResponse:
+    async def exchange(
+        self, request: WireRequest, may_send: Callable[[], bool] | None = None
+    ) -> WireResponse:
         """Send one request and return its whole response."""
         origin = self._origin
         url = httpcore.URL(
             scheme=origin.scheme, host=origin.host, port=origin.port, target=request.target
         )
         self._stream.written = False
+        self._stream.may_send = may_send
         message = httpcore.Request(
             request.method, url, headers=request.headers, content=request.body
         )
@@ -162,6 +196,11 @@
         headers = {name.lower(): value for name, value in response.headers}
         return WireResponse(response.status, headers, body)
 
+    async def cancel(self) -> None:
+        """Close the writing side and read until the peer closes."""
+        self._stream.end_writing()
+        await self._stream.wait_for_end()
+
     def is_reusable(self) -> bool:
         """Return whether the connection is idle and the peer has sent nothing, not even an end."""
         return self._http.is_idle() and not self._http.has_expired()
--- a/libs/backends/src/zinnia_backends/sending.py
+++ b/libs/backends/src/zinnia_backends/sending.py
@@ -11,6 +11,7 @@
     Connection,
     ConnectionLostError,
     Connector,
+    SendWithheldError,
     WireResponse,
 )
 from zinnia_backends.crashes import CrashRegistry, CrashStatus
@@ -27,9 +28,9 @@
 from zinnia_model.subrequests import SubResult
 
 CONNECT_LIMIT_S = 0.5
-# A closed connection cancels the request one way's delay later (at most 1.5 ms). The place is
-# held for that time, so that the next request does not run beside the cancelled one.
-CANCEL_SETTLE_S = 0.003
+# A cancelled request keeps its place until the backend server closes its end, so that the next
+# request does not run beside it. A silent server would hold the place for ever without a limit.
+CANCEL_LIMIT_S = 0.25
 
 
 class _End(Enum):
@@ -176,10 +177,17 @@
         if end is _End.PUT_BACK:
             return
         if end is _End.STOPPED and attempt.written:
-            await trio.sleep(CANCEL_SETTLE_S)
+            await self._cancel(attempt)
         replica.queue.release(attempt)
         self.pump(replica, trio.current_time(), in_worker=True)
 
+    async def _cancel(self, attempt: Attempt) -> None:
+        try:
+            with trio.move_on_after(CANCEL_LIMIT_S):
+                await attempt.connection.cancel()
+        finally:
+            attempt.connection.close()
+
     def _settle_stopped(self, replica: Replica, attempt: Attempt) -> None:
         """Settle an attempt that ended without a response."""
         if attempt.settled:
@@ -188,12 +196,17 @@
         reason = attempt.stop_reason
         if reason is None:
             reason = Reason.DEADLINE if now >= attempt.deadline_at else Reason.SHUTTING_DOWN
-        self.abandon(replica, attempt, reason)
+        self._settle_unanswered(replica, attempt, reason)
+        if not attempt.written and attempt.connection is not None:
+            attempt.connection.close()
 
     def abandon(self, replica: Replica | None, attempt: Attempt, reason: Reason) -> None:
         """Close the attempt's connection and settle it as not run only if nothing was written."""
         if attempt.connection is not None:
             attempt.connection.close()
+        self._settle_unanswered(replica, attempt, reason)
+
+    def _settle_unanswered(self, replica: Replica | None, attempt: Attempt, reason: Reason) -> None:
         if not attempt.written:
             self.refuse(replica, attempt, reason)
             return
@@ -225,8 +238,17 @@
             replica.queue.put_back(attempt)
             return _End.PUT_BACK
         self._mark_sent(replica, attempt, connection, now)
+
+        def may_send() -> bool:
+            # The process may have been paused since the check above.
+            if attempt.stop_reason is None:
+                attempt.stop_reason = self._recheck(replica, attempt, trio.current_time())[1]
+            return attempt.stop_reason is None
+
         try:
-            response = await connection.exchange(attempt.build_request(now))
+            response = await connection.exchange(attempt.build_request(now), may_send)
+        except SendWithheldError:
+            return _End.STOPPED
         except ConnectionLostError as error:
             logger.debug("attempt {}: {}", attempt.sub.attempt_id, error)
             return _End.LOST
--- a/libs/backends/tests/fakes.py
+++ b/libs/backends/tests/fakes.py
@@ -9,6 +9,7 @@
     Connection,
     ConnectionLostError,
     Connector,
+    SendWithheldError,
     WireResponse,
 )
 from zinnia_backends.crashes import CrashRegistry
@@ -37,6 +38,8 @@
     def __init__(self):
         self.start_id = "start-1"
         self.delay_s = 0.01
+        self.cancel_s = 0.0
+        self.pause = lambda: None
         self.connect_s = 0.006
         self.status = 200
         self.headers = {}
@@ -56,14 +59,19 @@
     def __init__(self, backend):
         self.backend = backend
         self.closed = self.broken = self.silent = self.busy = self.sent = False
+        self.running = False
 
     @property
     def written(self):
         return self.sent
 
-    async def exchange(self, request):
+    async def exchange(self, request, may_send=None):
         if self.closed or self.busy:
             raise AssertionError("a connection with an answer outstanding was reused")
+        self.sent = False
+        self.backend.pause()
+        if may_send is not None and not may_send():
+            raise SendWithheldError("withheld")
         self.sent = self.busy = True
         if self.silent:
             await trio.sleep_forever()
@@ -89,23 +97,32 @@
     async def _run(self, headers):
         backend = self.backend
         backend.in_flight += 1
+        self.running = True
         backend.peak = max(backend.peak, backend.in_flight)
         backend.ran.append(headers[b"x-attempt-id"].decode())
-        try:
-            await trio.sleep(backend.delay_s)
-        finally:
-            backend.in_flight -= 1
+        await trio.sleep(backend.delay_s)
+        self.end_run()
         if backend.crashes or self.broken:
             raise ConnectionLostError("lost")
         echoed = {name: headers[name] for name in (b"x-attempt-id", b"x-shard", b"x-snapshot")}
         echoed[b"x-start-id"] = backend.start_id.encode()
         return WireResponse(backend.status, {**echoed, **backend.headers}, b'{"shard":"0"}')
 
+    def end_run(self):
+        self.backend.in_flight -= self.running
+        self.running = False
+
+    async def cancel(self):
+        await trio.sleep(self.backend.cancel_s)
+        self.end_run()
+
     def is_reusable(self):
         return not (self.closed or self.broken or self.busy)
 
     def close(self):
         self.closed = True
+        if not self.backend.cancel_s:
+            self.end_run()
 
 
 class FakeConnector(Connector):
--- a/libs/backends/tests/test_connections.py
+++ b/libs/backends/tests/test_connections.py
@@ -7,6 +7,7 @@
     ConnectFailedError,
     ConnectionLostError,
     HttpConnector,
+    SendWithheldError,
     WireRequest,
 )
 
@@ -78,6 +79,43 @@
 
         self.run_with(serve, check)
 
+    def test_cancel_returns_when_the_peer_has_closed(self):
+        """Guards against giving a place away while the backend server still runs the request."""
+        dropped = []
+
+        async def serve(stream):
+            await stream.receive_some()
+            if await stream.receive_some():
+                return
+            await trio.sleep(0.05)
+            dropped.append(True)
+
+        async def check(connection):
+            with trio.move_on_after(0.02):
+                await connection.exchange(REQUEST)
+            await connection.cancel()
+            self.assertEqual([True], dropped)
+            self.assertFalse(connection.is_reusable())
+
+        self.run_with(serve, check)
+
+    def test_withheld_request_is_not_written(self):
+        """Guards against a false "not run" when the check before the write says no."""
+        received = []
+
+        async def serve(stream):
+            async for data in stream:
+                received.append(data)
+
+        async def check(connection):
+            with self.assertRaises(SendWithheldError):
+                await connection.exchange(REQUEST, lambda: False)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            self.assertFalse(connection.written)
+            self.assertEqual([], received)
+
+        self.run_with(serve, check)
+
     def test_idle_connection_closed_by_the_peer_is_not_reusable(self):
         """Guards against sending on a connection that is known to be dead."""
 
--- a/libs/backends/tests/test_dispatcher.py
+++ b/libs/backends/tests/test_dispatcher.py
@@ -87,6 +87,36 @@
 
         rig.run(check)
 
+    def test_the_place_of_a_cancelled_run_is_held_until_the_backend_server_has_dropped_it(self):
+        """Guards against more requests on a replica than slots when it notices a cancel late."""
+        rig = Rig()
+
+        async def check():
+            await rig.warm()
+            slots = rig.backend.peak = rig.dispatcher.views()[0].limit
+            rig.backend.delay_s, rig.backend.cancel_s = 1.0, 0.04
+            running = [f"running-{index}" for index in range(slots)]
+            rig.submit(*running, *(f"next-{index}" for index in range(slots)))
+            await trio.sleep(0.05)
+            rig.dispatcher.cancel(running)
+            await trio.sleep(0.2)
+            self.assertEqual(slots, rig.backend.in_flight)
+            self.assertEqual(slots, rig.backend.peak)
+
+        rig.run(check)
+
+    def test_a_process_paused_between_the_check_and_the_write_does_not_send(self):
+        """Guards against an owner that wakes after its takeover and sends beside the new owner."""
+        rig = Rig()
+
+        async def check():
+            await rig.warm()
+            rig.backend.pause = lambda: setattr(rig, "standing", Standing.NOT_OWNER)
+            self.assertEqual({"a": not_run(Reason.NOT_OWNER)}, await rig.ask("a"))
+            self.assertEqual([], rig.backend.ran)
+
+        rig.run(check)
+
     def test_cancel_of_waiting_connecting_and_running_attempts(self):
         """Guards against a false "not run" after a cancel and against reuse of its connection."""
         rig = Rig()
