Latency histograms by phase: queue, send, merge

The metrics told how long a request took and how long its exchanges took, but not where the rest of the time went.

--- a/libs/entry/src/zinnia_entry/metrics.py
+++ b/libs/entry/src/zinnia_entry/metrics.py
@@ -2,10 +2,11 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-from zinnia_entry.reasons import RefusalReason, RequestOutcome
+from zinnia_entry.reasons import Phase, RefusalReason, RequestOutcome
 from zinnia_sending.answers import ExchangeResult
 from zinnia_sending.attempts import SendReason
 from zinnia_sending.counters import SendCounters
+from zinnia_sending.runs import RunTiming
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 1.2, 2.5, 5.0)
 
@@ -21,6 +22,9 @@
         self._exchanges = self._make_histogram(
             "zinnia_exchange_seconds", "Time of exchanges with replicas", ["result"]
         )
+        self._phases = self._make_histogram(
+            "zinnia_request_phase_seconds", "Time that requests spent in a phase", ["phase"]
+        )
         self._refusals = self._make_counter("zinnia_refusals", "Refusals", ["reason"])
         self._sends = self._make_counter("zinnia_sends", "Requests sent to replicas", ["reason"])
         self.missing_shards = self._make_counter("zinnia_missing_shards", "Shards left out", [])
@@ -44,6 +48,7 @@
         self._exchanges_by_result = {
             row: self._exchanges.labels(row.value) for row in ExchangeResult
         }
+        self._time_by_phase = {row: self._phases.labels(row.value) for row in Phase}
 
     def _make_counter(self, name: str, text: str, labels: list[str]) -> Counter:
         return Counter(name, text, labels, registry=self.registry)
@@ -63,6 +68,19 @@
         """Count a request of a caller."""
         self._requests.labels(route, outcome.value).observe(duration_s)
 
+    def count_phases(self, received_at: float, timing: RunTiming, now: float) -> None:
+        """Count the time of a request in each phase that it reached; it ended now."""
+        observe = self._time_by_phase
+        if timing.sent_at is None:
+            observe[Phase.QUEUE].observe(now - received_at)
+            return
+        observe[Phase.QUEUE].observe(timing.sent_at - received_at)
+        if timing.sealed_at is None:
+            observe[Phase.SEND].observe(now - timing.sent_at)
+            return
+        observe[Phase.SEND].observe(timing.sealed_at - timing.sent_at)
+        observe[Phase.MERGE].observe(now - timing.sealed_at)
+
     def count_refusal(self, reason: RefusalReason) -> None:
         """Count a refusal."""
         self._refusals.labels(reason.value).inc()
--- a/libs/entry/src/zinnia_entry/reasons.py
+++ b/libs/entry/src/zinnia_entry/reasons.py
@@ -17,6 +17,14 @@
     BAD_DEADLINE = "bad_deadline"
 
 
+class Phase(Enum):
+    """Phases of a request: until the first send, until it is sealed, until its reply."""
+
+    QUEUE = "queue"
+    SEND = "send"
+    MERGE = "merge"
+
+
 class RequestOutcome(Enum):
     """How a request ended, from its caller's view."""
 
--- /dev/null
+++ b/libs/entry/tests/test_metrics.py
@@ -0,0 +1,38 @@
+import unittest
+
+from zinnia_entry.metrics import Metrics
+from zinnia_entry.reasons import Phase
+from zinnia_sending.runs import RunTiming
+
+
+class PhaseMetricsTest(unittest.TestCase):
+    def read(self, timing):
+        """Return count and sum in seconds of each phase for one request from 10 s to 11 s."""
+        metrics = Metrics()
+        metrics.count_phases(10.0, timing, 11.0)
+        name = "zinnia_request_phase_seconds"
+        get = metrics.registry.get_sample_value
+        return {
+            phase: (get(f"{name}_count", labels), round(get(f"{name}_sum", labels), 3))
+            for phase in Phase
+            for labels in [{"phase": phase.value}]
+        }
+
+    def test_an_answered_request_counts_in_every_phase(self):
+        """Guards against a slow merge that is charged to the replicas."""
+        found = self.read(RunTiming(sent_at=10.1, sealed_at=10.7))
+        self.assertEqual(
+            {Phase.QUEUE: (1, 0.1), Phase.SEND: (1, 0.6), Phase.MERGE: (1, 0.3)}, found
+        )
+
+    def test_a_request_that_was_not_sent_counts_as_queued_only(self):
+        """Guards against refusals that make the replicas look fast."""
+        found = self.read(RunTiming(sealed_at=10.9))
+        self.assertEqual({Phase.QUEUE: (1, 1.0), Phase.SEND: (0, 0), Phase.MERGE: (0, 0)}, found)
+
+    def test_a_request_whose_caller_left_counts_up_to_there(self):
+        """Guards against losing the waits that made callers leave."""
+        found = self.read(RunTiming(sent_at=10.25))
+        self.assertEqual(
+            {Phase.QUEUE: (1, 0.25), Phase.SEND: (1, 0.75), Phase.MERGE: (0, 0)}, found
+        )
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -62,6 +62,14 @@
     fields: dict
 
 
+@dataclass(slots=True)
+class RunTiming:
+    """When a run first sent and when it was sealed, on the runtime's clock; None if it did not."""
+
+    sent_at: float | None = None
+    sealed_at: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class RunOutcome:
     """The answers of a run and how it ended.
@@ -107,6 +115,7 @@
         self._shards = [ShardProgress(service) for service in request.services]
         self._wake = trio.Event()
         self._is_sealed = False
+        self.timing = RunTiming()
         self._trace: list[TraceStep] = []
         self._pending = len(self._shards)
         self._answered = 0
@@ -182,6 +191,7 @@
                 planned.append((shard, replica))
         if not self._is_enough(len(planned)):
             return False
+        self.timing.sent_at = now
         for shard, replica in planned:
             self._send(shard, replica, SendReason.FIRST, now)
         return True
@@ -282,13 +292,14 @@
 
     def _seal(self) -> RunOutcome:
         self._is_sealed = True
+        self.timing.sealed_at = now = trio.current_time()
         answers = tuple(shard.answer for shard in self._shards if shard.answer is not None)
         missing = len(self._shards) - len(answers)
         may_have_run = any(shard.may_have_run or shard.live for shard in self._shards)
         failure = self._shards[0].failure if not self._request.is_fanout else None
         verdict = self._judge(missing, may_have_run)
         retry_after_s = self._find_retry_time() if verdict is RunVerdict.NO_REPLICA else 0.0
-        late_s = trio.current_time() - self._seal_at
+        late_s = now - self._seal_at
         is_by_time = verdict is RunVerdict.PARTIAL and 0 <= late_s < LONGEST_LAG_S
         return RunOutcome(
             verdict,
