VMs that start together list the store once and watch it only if nobody else does

Change: a VM lists at once, as before, but watches only after 1.8 s, when it knows the others and most follow one.

--- a/libs/entry/src/zinnia_entry/feeds.py
+++ b/libs/entry/src/zinnia_entry/feeds.py
@@ -32,6 +32,8 @@
         The kind to follow.
     beliefs : Beliefs
         What is kept up to date; a peer may advance it meanwhile.
+    watch_from : float, optional
+        Time of the runtime's clock before which the store is not watched, only listed.
     """
 
     def __init__(
@@ -42,8 +44,10 @@
         metrics: Metrics,
         events: EventSink,
         random: Random,
+        watch_from: float = 0.0,
     ) -> None:
         self.is_lost = False
+        self._watch_from = watch_from
         self._kind = kind
         self._store = store
         self._beliefs = beliefs
@@ -79,6 +83,7 @@
             changes = collection.replace(await self._store.list(self._kind))
             self._must_list = False
         else:
+            await trio.sleep_until(self._watch_from)
             wait_s = WATCH_WAIT_S[self._kind]
             news = await self._store.watch(self._kind, collection.revision, wait_s)
             changes = collection.advance(news)
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -38,8 +38,8 @@
 # Time before the end of the grace period at which the process ends in any case.
 STOP_MARGIN_S = 0.5
 MEMBERS_INTERVAL_S = 10.0
-# VMs that start together register within this time.
-MEMBERS_FIRST_S = 3.0
+# VMs that start together have registered after this time.
+MEMBERS_FIRST_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -248,7 +248,7 @@
         settings = self._settings
         store = self._adapter.store
         is_registered = False
-        started_at = trio.current_time()
+        pause_s = MEMBERS_FIRST_S
         while True:
             try:
                 listing = await store.list(ObjectKind.MEMBERS, allow_stale=True)
@@ -260,9 +260,8 @@
                 is_registered = True
             except StoreError as error:
                 self.events.note("members_unknown", cause=error.cause)
-            is_first = trio.current_time() - started_at < MEMBERS_FIRST_S
-            pause_s = MEMBERS_FIRST_S if is_first else MEMBERS_INTERVAL_S
             await trio.sleep(pause_s * (0.8 + 0.4 * self._random.random()))
+            pause_s = MEMBERS_INTERVAL_S
 
     async def _stop(self) -> None:
         """Lose readiness, finish requests, and return when none is left."""
--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -45,6 +45,9 @@
 # it asks the store. After a loss of all VMs no peer accepts, and the wait delays the first answer.
 FIRST_CONNECT_S = 0.03
 FIRST_ASK_S = 0.4
+# VMs that start together know each other after this time, and most of them follow another one then.
+# Until then they list the store, but do not watch it.
+START_SETTLE_S = 1.8
 
 
 class SourceController:
@@ -77,12 +80,14 @@
         self._random = random
         self._direct: trio.CancelScope | None = None
         self._hold_until = 0.0
+        self._watch_from = 0.0
         self._source = ""
         self._ranked_vms: set[str] = set()
         self._watchers: list[Member] = []
 
     async def run(self) -> None:
         """Follow the best source until cancelled."""
+        self._watch_from = trio.current_time() + START_SETTLE_S
         with trio.move_on_after(FIRST_ASK_S):
             await self._ask_any(FIRST_CONNECT_S)
         async with trio.open_nursery() as nursery:
@@ -185,6 +190,7 @@
                         self._metrics,
                         self._events,
                         self._random,
+                        self._watch_from,
                     )
                     nursery.start_soon(feed.run)
 
--- a/libs/entry/tests/test_sources.py
+++ b/libs/entry/tests/test_sources.py
@@ -111,6 +111,15 @@
         follower = rank_names(NAMES)[-1]
         self.assertEqual("store", self.run_controller(follower, 0.5, known=False)[0])
 
+    def test_vm_that_starts_with_others_lists_the_store_and_then_follows(self):
+        """Load pattern: 72 VMs start at once while replicas register, and every call is priced."""
+        store = SlowStore()
+        follower = rank_names(NAMES)[-1]
+        sources = self.run_controller(follower, 0.5, seconds=6.0, known=False, store=store)
+        self.assertEqual("store", sources[0])
+        self.assertIn(sources[-1], NAMES)
+        self.assertEqual([], store.started)
+
     def test_address_of_a_registration_is_read(self):
         """Guards against a peer that cannot be reached because of its registration."""
         self.assertEqual("10.0.0.1:80", str(parse_address("10.0.0.1:80")))
@@ -123,6 +132,11 @@
         await trio.sleep(0.005)
         return await super().list(kind)
 
+    def __init__(self):
+        super().__init__()
+        self.started = []
+
     async def watch(self, kind, revision, wait_s):
+        self.started.append(kind)
         await trio.sleep(wait_s)
         return await super().watch(kind, revision, wait_s)
