Prefer the local replica unless it is about twice as slow

Cause: most of the price beside the VMs is for bytes between data centres. Observed slowness varies by a third from answer to answer, so a penalty of 0.4 sent many requests elsewhere without need.

--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -24,7 +24,7 @@
 # Part of the warm-up rate that the VMs use together, before the margin that the bounds allow.
 WARMUP_PART = 0.7
 # Relative latency that makes a replica in another data centre the better choice.
-OTHER_DATA_CENTRE_PENALTY = 0.4
+OTHER_DATA_CENTRE_PENALTY = 1.0
 # Random part of the score, so that VMs with the same view do not choose alike.
 SCORE_JITTER = 0.1
 # Relative latency added for a replica that is warming up.
