--- a/programs/measure/src/zinnia_measure/main.py
+++ b/programs/measure/src/zinnia_measure/main.py
@@ -5,6 +5,7 @@
 from cleo.helpers import option
 
 from zinnia_measure.demo import DemoFailedError, run_demo
+from zinnia_measure.entry_cost import run_entry_cost
 from zinnia_measure.fanout import run_fan_out
 from zinnia_measure.measurement import DEFAULT_SEED, run_measurement
 from zinnia_measure.slopes import run_slopes
@@ -84,6 +85,22 @@
         return 0
 
 
+class EntryCostCommand(Command):
+    """Measures the entry process's part of a fan-out."""
+
+    name = "entry-cost"
+    description = "Measure processor time of the entry process for each sub-request of a fan-out."
+
+    def handle(self) -> int:
+        """Print a line for each fan-out."""
+        for cost in run_entry_cost():
+            self.line(
+                f"fan-out {cost.fan_out}: {cost.per_sub_request_us:.0f} us a sub-request, "
+                f"{cost.per_request_ms:.1f} ms a request"
+            )
+        return 0
+
+
 def main() -> int:
     """Run the command that the command line names."""
     application = Application("zinnia-measure")
@@ -91,6 +108,7 @@
     application.add(MeasureCommand())
     application.add(FanOutCommand())
     application.add(SlopesCommand())
+    application.add(EntryCostCommand())
     return application.run()
 
 
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -35,7 +35,8 @@
     "zinnia_standins": {"zinnia_model", "zinnia_platform"},
     "zinniarouterd": PRODUCT,
     "zinnia_tool": {"zinnia_model", "zinnia_releases"},
-    "zinnia_measure": PRODUCT | {"zinnia_standins", "zinnia_tool", "zinniarouterd"},
+    "zinnia_measure": PRODUCT
+    | {"zinnia_catalog", "zinnia_sending", "zinnia_standins", "zinnia_tool", "zinniarouterd"},
 }
 
 
