--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -192,7 +192,7 @@
             return Obstacle.DATA_CENTRE_OUT
         if entry.version == excluded:
             return Obstacle.VERSION_SHARE
-        if now < replica.warm_at and not self._allows_warmup(replica, now):
+        if replica.is_cold(now) and not self._allows_warmup(replica, now):
             return Obstacle.WARMING_UP
         return self._find_load_obstacle(replica, now)
 
@@ -226,7 +226,7 @@
         if health.get_condition(now) is Condition.TRIAL_DUE:
             health.start_trial(now)
         health.begin(key, usual_s, now)
-        if now < replica.warm_at:
+        if replica.is_cold(now):
             limits = self._limits.get(replica.entry.service)
             replica.take_warmup(limits, self._warmup_factor(), now)
         self.versions.count_send(replica.entry.service, replica.entry.version)
@@ -260,7 +260,7 @@
         rejection_rate = health.get_rejection_rate(now)
         if rejection_rate:
             score /= max(LEAST_ACCEPTANCE, 1.0 - rejection_rate)
-        if now < replica.warm_at:
+        if replica.is_cold(now):
             score += COLD_PENALTY
         if health.get_condition(now) is Condition.TRIAL_DUE:
             score *= 2.0
--- a/libs/sending/src/zinnia_sending/replica.py
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -45,17 +45,17 @@
         self.warm_at = max(self.warm_at, now + duration_s)
 
     def allows_warmup(self, limits: ServiceLimits | None, factor: float, now: float) -> bool:
-        """Whether a cold replica may get a request from this VM now.
+        """Whether the cold replica may get a request from this VM now.
 
         ``factor`` turns the rate of the service's limits into this VM's share of it.
         """
-        if limits is None or limits.warmup_rate_per_s <= 0 or not self.is_cold(now):
+        if limits is None or limits.warmup_rate_per_s <= 0:
             return True
         return self._get_share(limits.warmup_rate_per_s * factor, now).has_token(now)
 
     def take_warmup(self, limits: ServiceLimits | None, factor: float, now: float) -> None:
-        """Count a request that is about to be sent against the warm-up rate."""
-        if limits is not None and limits.warmup_rate_per_s > 0 and self.is_cold(now):
+        """Count a request that is about to be sent to the cold replica against its rate."""
+        if limits is not None and limits.warmup_rate_per_s > 0:
             self._get_share(limits.warmup_rate_per_s * factor, now).take(now)
 
     def _get_share(self, rate_per_s: float, now: float) -> RateShare:
