--- /dev/null
+++ b/libs/backends/tests/test_gate.py
@@ -0,0 +1,162 @@
+import unittest
+
+import trio
+from fakes import Rig
+
+from zinnia_facts.table import Fact, FactKind
+from zinnia_model.ownership import Standing
+from zinnia_model.reasons import Outcome, Reason
+from zinnia_model.replicas import ReplicaFact
+from zinnia_model.shardmaps import ReplicaRecord
+
+ANSWERED = (Outcome.ANSWERED, None)
+
+
+def not_run(reason):
+    return Outcome.NOT_RUN, reason
+
+
+def unknown(reason):
+    return Outcome.UNKNOWN, reason
+
+
+class GateTest(unittest.TestCase):
+    def test_every_check_is_made_again_after_connecting(self):
+        """Guards against a send after ownership, data centre or version was withdrawn."""
+        for standing, block, reason in (
+            (Standing.NOT_OWNER, None, Reason.NOT_OWNER),
+            (Standing.NO_MAJORITY, None, Reason.NO_MAJORITY),
+            (Standing.OWNER, Reason.DATA_CENTRE_OUT, Reason.DATA_CENTRE_OUT),
+        ):
+            with self.subTest(reason=reason):
+                self.check_withdrawn(standing, block, reason)
+
+    def check_withdrawn(self, standing, block, reason):
+        rig = Rig()
+
+        async def check():
+            rig.submit("connecting", "waiting")
+            await trio.sleep(0.001)
+            rig.standing, rig.block = standing, block
+            await trio.sleep(0.1)
+            outcomes = {r.attempt_id: (r.outcome, r.reason) for r in rig.results}
+            self.assertEqual(dict.fromkeys(("connecting", "waiting"), not_run(reason)), outcomes)
+            self.assertEqual([], rig.backend.ran)
+
+        rig.run(check)
+
+    def test_waiting_owner_holds_work_or_refuses_what_cannot_wait(self):
+        """Guards against sending beside work of the last owner that still runs."""
+        rig = Rig()
+
+        async def check():
+            rig.standing = Standing.WAITING
+            rig.submit("patient", deadline_s=3.0)
+            self.assertEqual(
+                {"hasty": not_run(Reason.OWNER_WAITING)}, await rig.ask("hasty", deadline_s=0.5)
+            )
+            await trio.sleep(0.5)
+            self.assertEqual([], rig.backend.ran)
+            rig.standing = Standing.OWNER
+            await trio.sleep(0.1)
+            self.assertEqual(["patient"], rig.backend.ran)
+
+        rig.run(check)
+
+    def test_degraded_owner_sends_half_to_a_warm_replica_and_nothing_to_a_cold_one(self):
+        """Guards against two owners that together overload a cold replica."""
+        rig = Rig()
+
+        async def check():
+            rig.standing = Standing.DEGRADED
+            self.assertEqual({"a": not_run(Reason.COLD)}, await rig.ask("a"))
+            rig.standing = Standing.OWNER
+            await rig.warm()
+            rig.standing, rig.backend.peak = Standing.DEGRADED, 0
+            await rig.ask(*(f"b{index}" for index in range(8)))
+            self.assertEqual(2, rig.backend.peak)
+
+        rig.run(check)
+
+    def test_takeover_starts_cold_and_a_handover_stays_warm(self):
+        """Guards against stale warmth after another VM owned the replica meanwhile."""
+        rig = Rig()
+
+        async def check():
+            await rig.warm()
+            states = rig.dispatcher.export_states()
+            for handed, cold in ((states, False), ([], True)):
+                rig.standing = Standing.NOT_OWNER
+                await trio.sleep(1)
+                rig.dispatcher.import_states(handed)
+                rig.standing = Standing.OWNER
+                await trio.sleep(0.3)
+                self.assertEqual(cold, rig.view.cold)
+
+        rig.run(check)
+
+    def test_ceded_replica_is_handed_over_only_after_its_work_has_finished(self):
+        """Guards against a next owner that sends beside work of this one."""
+        rig = Rig(slots=1)
+
+        async def check():
+            await rig.warm()
+            (state,) = rig.dispatcher.export_states()
+            rig.backend.delay_s = 0.1
+            rig.submit("running")
+            await trio.sleep(0.05)
+            rig.submit("waiting")
+            rig.standing = Standing.NOT_OWNER
+            started = trio.current_time()
+            late = await rig.dispatcher.cede([state.replica], started + 0.01)
+            (ceded,) = await rig.dispatcher.cede([state.replica], started + 1)
+            self.assertLess(trio.current_time() - started, 0.1)
+            self.assertEqual(([], False, 0), (late, ceded.cold, ceded.in_flight))
+            self.assertEqual("running", rig.backend.ran[-1])
+            outcomes = {r.attempt_id: (r.outcome, r.reason) for r in rig.results[-2:]}
+            self.assertEqual(not_run(Reason.NOT_OWNER), outcomes["waiting"])
+
+        rig.run(check)
+
+    def test_draining_replica_gets_no_new_work_and_is_told_at_once(self):
+        """Guards against work sent to a leaving backend server (promise 9)."""
+        rig = Rig()
+
+        async def check():
+            await rig.warm()
+            rig.backend.headers = {b"x-draining": b"1"}
+            await rig.ask("a")
+            state = ReplicaFact.model_validate_json(rig.published[-1].value)
+            self.assertTrue(state.draining)
+            self.assertEqual({"b": not_run(Reason.DRAINING)}, await rig.ask("b"))
+            await trio.sleep(5)
+            self.assertEqual({"c": not_run(Reason.DRAINING)}, await rig.ask("c"))
+            rig.backend.restart("start-2")
+            rig.backend.headers = {}
+            await trio.sleep(3)
+            self.assertEqual({"d": ANSWERED}, await rig.ask("d"))
+
+        rig.run(check)
+
+    def test_restart_sends_the_rest_of_the_queue_elsewhere_only_if_another_is_warm(self):
+        """Guards against queries that wait at a cold replica beside a warm one."""
+        rig = Rig()
+
+        async def check():
+            await rig.warm()
+            records = [
+                ReplicaRecord(id=name, address="h:1", data_centre="d", version="v1")
+                for name in ("r", "other")
+            ]
+            rig.dispatcher.set_replicas("s", records[:1], {"shard": tuple(records)})
+            state = ReplicaFact(replica="other", cold=False, limit=4).model_dump_json()
+            now = trio.current_time()
+            rig.facts.put(Fact(FactKind.REPLICA_STATE, "other", "vm-2", 1, state, 60.0), now)
+            rig.submit(*(f"a{index}" for index in range(12)))
+            rig.backend.start_id = "start-2"
+            await trio.sleep(1)
+            sent_on = [r for r in rig.results if r.reason is Reason.COLD]
+            self.assertEqual(7, len(sent_on))
+            self.assertEqual(12, len(rig.results))
+
+        rig.run(check)
