--- a/libs/backends/tests/fakes.py
+++ b/libs/backends/tests/fakes.py
@@ -18,9 +18,20 @@
 from zinnia_model.configuration import ServiceConfig
 from zinnia_model.observations import Observer
 from zinnia_model.ownership import Standing
+from zinnia_model.reasons import Outcome
 from zinnia_model.shardmaps import ReplicaRecord
 from zinnia_model.subrequests import Batch, SubRequest
 
+ANSWERED = (Outcome.ANSWERED, None)
+
+
+def not_run(reason):
+    return Outcome.NOT_RUN, reason
+
+
+def unknown(reason):
+    return Outcome.UNKNOWN, reason
+
 
 def make_batch(*attempt_ids, replica="r", deadline_s=5.0, fingerprint="f", repeatable=True):
     items = tuple(SubRequest(attempt_id, "shard", replica) for attempt_id in attempt_ids)
--- a/libs/backends/tests/test_dispatcher.py
+++ b/libs/backends/tests/test_dispatcher.py
@@ -1,21 +1,11 @@
 import unittest
 
 import trio
-from fakes import Rig
+from fakes import ANSWERED, Rig, not_run, unknown
 
 from zinnia_model.observations import ObservedResult
 from zinnia_model.ownership import Standing
-from zinnia_model.reasons import Outcome, Reason
-
-ANSWERED = (Outcome.ANSWERED, None)
-
-
-def not_run(reason):
-    return Outcome.NOT_RUN, reason
-
-
-def unknown(reason):
-    return Outcome.UNKNOWN, reason
+from zinnia_model.reasons import Reason
 
 
 class SendingTest(unittest.TestCase):
--- a/libs/backends/tests/test_gate.py
+++ b/libs/backends/tests/test_gate.py
@@ -1,24 +1,14 @@
 import unittest
 
 import trio
-from fakes import Rig
+from fakes import ANSWERED, Rig, not_run
 
 from zinnia_facts.table import Fact, FactKind
 from zinnia_model.ownership import Standing
-from zinnia_model.reasons import Outcome, Reason
+from zinnia_model.reasons import Reason
 from zinnia_model.replicas import ReplicaFact
 from zinnia_model.shardmaps import ReplicaRecord
 
-ANSWERED = (Outcome.ANSWERED, None)
-
-
-def not_run(reason):
-    return Outcome.NOT_RUN, reason
-
-
-def unknown(reason):
-    return Outcome.UNKNOWN, reason
-
 
 class GateTest(unittest.TestCase):
     def test_every_check_is_made_again_after_connecting(self):
