--- a/scenarios/support/backends.py
+++ b/scenarios/support/backends.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -11,6 +12,7 @@
     Connection,
     ConnectionLostError,
     Connector,
+    SendWithheldError,
     WireRequest,
     WireResponse,
 )
@@ -193,9 +195,14 @@
         setup_s, self._setup_s = self._setup_s, 0.0
         return setup_s
 
-    async def exchange(self, request: WireRequest) -> WireResponse:
+    async def exchange(
+        self, request: WireRequest, may_send: Callable[[], bool] | None = None
+    ) -> WireResponse:
         if self.broken:
             raise ConnectionLostError("closed")
+        self._written = False
+        if may_send is not None and not may_send():
+            raise SendWithheldError("withheld")
         self._written = self._busy = True
         self._done, self._response, self.scope = trio.Event(), None, trio.CancelScope()
         self._replica.nursery.start_soon(self._replica.serve, self, request)
@@ -205,6 +212,12 @@
         self._busy = False
         return self._response
 
+    async def cancel(self) -> None:
+        if self.silent:
+            await trio.sleep_forever()
+        self.scope.deadline = trio.current_time() + ONE_WAY_S
+        await trio.sleep(2 * ONE_WAY_S)
+
     def is_reusable(self) -> bool:
         return not self._busy and not self.broken
 
