Remove state of the entry process that nothing reads

The phases of a request are counted in one place, also when it ends with an error. Behaviour is the same otherwise.

--- a/libs/catalog/src/zinnia_catalog/catalog.py
+++ b/libs/catalog/src/zinnia_catalog/catalog.py
@@ -38,7 +38,7 @@
         """Note a newer configuration."""
 
     @abstractmethod
-    def update_replica(self, entry: ReplicaEntry, was_out: bool) -> None:
+    def update_replica(self, entry: ReplicaEntry) -> None:
         """Note a replica that is new or says something new of itself."""
 
     @abstractmethod
@@ -71,10 +71,7 @@
         self, decoder: ObjectDecoder, listener: CatalogListener, clock: Callable[[], float]
     ) -> None:
         self.configuration: Configuration | None = None
-        self.configuration_since = 0.0
         self.replicas: dict[ReplicaId, ReplicaEntry] = {}
-        self.data_centres_out: set[DataCentreId] = set()
-        self.releases: dict[ServiceName, ReleaseOrder] = {}
         self.members: dict[str, Member] = {}
         self._decoder = decoder
         self._listener = listener
@@ -110,7 +107,6 @@
         if self.configuration is not None and configuration.version <= self.configuration.version:
             return
         self.configuration = configuration
-        self.configuration_since = self._clock()
         self._listener.adopt_configuration(configuration)
 
     def _apply_replica(self, change: Change, after_outage: bool) -> None:
@@ -129,7 +125,7 @@
             return
         self._lapsed.pop(replica, None)
         self.replicas[replica] = entry
-        self._listener.update_replica(entry, entry.data_centre in self.data_centres_out)
+        self._listener.update_replica(entry)
 
     def _remove(self, replica: ReplicaId, reason: str) -> None:
         self._lapsed.pop(replica, None)
@@ -138,19 +134,11 @@
 
     def _apply_data_centre(self, change: Change) -> None:
         data_centre = DataCentreId(change.object.name)
-        if change.is_deleted:
-            self.data_centres_out.discard(data_centre)
-        else:
-            self.data_centres_out.add(data_centre)
         self._listener.change_data_centre(data_centre, not change.is_deleted)
 
     def _apply_release(self, change: Change) -> None:
         service = ServiceName(change.object.name)
         order = None if change.is_deleted else self._decoder.decode_release(change.object)
-        if order is None:
-            self.releases.pop(service, None)
-        else:
-            self.releases[service] = order
         self._listener.change_release(service, order)
 
     def _apply_member(self, change: Change) -> None:
--- a/libs/catalog/tests/test_catalog.py
+++ b/libs/catalog/tests/test_catalog.py
@@ -26,7 +26,7 @@
     def adopt_configuration(self, configuration):
         self.events.append(("configuration", configuration.version))
 
-    def update_replica(self, entry, was_out):
+    def update_replica(self, entry):
         self.events.append(("replica", entry.id))
 
     def remove_replica(self, replica, reason):
--- a/libs/entry/src/zinnia_entry/handler.py
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -91,11 +91,11 @@
             outcome = await run.run()
         except trio.Cancelled:
             self._finish(request, facts, route, RequestOutcome.CALLER_LEFT, None, run.trace)
-            self._metrics.count_phases(request.received_at, run.timing, trio.current_time())
             raise
-        reply = self._reply(request, facts, route, outcome)
-        self._metrics.count_phases(request.received_at, run.timing, trio.current_time())
-        return reply
+        else:
+            return self._reply(request, facts, route, outcome)
+        finally:
+            self._metrics.count_phases(request.received_at, run.timing, trio.current_time())
 
     def _make_run(self, request: CallerRequest, facts: CallerFacts, route: Route) -> RequestRun:
         state = self._get_state(route)
--- a/libs/sending/src/zinnia_sending/connections.py
+++ b/libs/sending/src/zinnia_sending/connections.py
@@ -128,7 +128,6 @@
     def __init__(self, host: str, port: int, limit: int) -> None:
         self._address = (host, port)
         self.limit = limit
-        self.opened = 0
         self._idle: list[Connection] = []
         self._open: set[Connection] = set()
 
@@ -174,7 +173,6 @@
         except BaseException:
             self.discard(connection)
             raise
-        self.opened += 1
         return connection
 
     def put_back(self, connection: Connection, now: float, idle_s: float | None) -> None:
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -95,7 +95,7 @@
             for replica in self._services.get(service, ()):
                 replica.pool.limit = self._share_connections(service)
 
-    def update_replica(self, entry: ReplicaEntry, was_out: bool) -> None:
+    def update_replica(self, entry: ReplicaEntry) -> None:
         """Add a replica or take its new entry; another incarnation starts with nothing known."""
         now = trio.current_time()
         known = self._replicas.get(entry.id)
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -121,7 +121,6 @@
         self._trace: list[TraceStep] = []
         self._pending = len(self._shards)
         self._answered = 0
-        self._retry_after_s = 0.0
         target_s = request.target_at - request.received_at
         margin_s = max(MIN_SEAL_MARGIN_S, SEAL_MARGIN_PART * target_s) + request.seal_lag_s
         self._seal_at = request.target_at - margin_s if request.is_fanout else request.end_at
--- a/libs/sending/tests/fakes.py
+++ b/libs/sending/tests/fakes.py
@@ -50,7 +50,7 @@
     limits = {name: ServiceLimits(name, 25, 3.0, warmup_rate_per_s) for name in services}
     fleet.adopt_configuration(Configuration(1, (), limits, CallerLimits()))
     for entry in entries:
-        fleet.update_replica(entry, False)
+        fleet.update_replica(entry)
     return fleet
 
 
--- a/libs/sending/tests/test_fleet.py
+++ b/libs/sending/tests/test_fleet.py
@@ -48,7 +48,7 @@
         """Load pattern: replicas are emptied and taken away."""
         entries = (make_entry("a"), make_entry("b"))
         fleet = self.in_trio(lambda: make_fleet(*entries))
-        self.in_trio(lambda: fleet.update_replica(make_entry("a", is_draining=True), False))
+        self.in_trio(lambda: fleet.update_replica(make_entry("a", is_draining=True)))
         self.assertEqual({"b"}, set(self.count_choices(fleet)))
 
     def test_data_centre_that_is_out_gets_nothing(self):
@@ -65,7 +65,7 @@
         fleet = self.in_trio(lambda: make_fleet(make_entry("a")))
         known = fleet.get_replica("a")
         fail_twice(known.health, 0.0)
-        self.in_trio(lambda: fleet.update_replica(make_entry("a", started_ms=2), False))
+        self.in_trio(lambda: fleet.update_replica(make_entry("a", started_ms=2)))
         self.assertIsNot(known, fleet.get_replica("a"))
         self.assertTrue(known.is_gone)
 
--- a/programs/measure/src/zinnia_measure/entry_cost.py
+++ b/programs/measure/src/zinnia_measure/entry_cost.py
@@ -111,7 +111,7 @@
         self._fleet.adopt_configuration(Configuration(1, (), limits, CallerLimits()))
         for name in names:
             for number in range(REPLICAS_PER_SHARD):
-                self._fleet.update_replica(make_entry(name, number, port), False)
+                self._fleet.update_replica(make_entry(name, number, port))
         self._route = Route(
             RouteName("search"),
             "example",
