Close the connection of a run that is cut off by the end of its process

Change: the connection of a stopped run is dropped in one place, on every way out. The shutdown test now also checks that all connections are closed; it fails without the change.

--- a/libs/backends/src/zinnia_backends/sending.py
+++ b/libs/backends/src/zinnia_backends/sending.py
@@ -174,17 +174,21 @@
             replica.sending.discard(attempt)
             if end is not _End.PUT_BACK:
                 self._settle_stopped(replica, attempt)
+            if end is _End.STOPPED:
+                await self._drop_connection(attempt)
         if end is _End.PUT_BACK:
             return
-        if end is _End.STOPPED and attempt.written:
-            await self._cancel(attempt)
         replica.queue.release(attempt)
         self.pump(replica, trio.current_time(), in_worker=True)
 
-    async def _cancel(self, attempt: Attempt) -> None:
+    async def _drop_connection(self, attempt: Attempt) -> None:
+        """Close the connection of a stopped attempt once the backend server has dropped the run."""
+        if attempt.connection is None:
+            return
         try:
-            with trio.move_on_after(CANCEL_LIMIT_S):
-                await attempt.connection.cancel()
+            if attempt.written:
+                with trio.move_on_after(CANCEL_LIMIT_S):
+                    await attempt.connection.cancel()
         finally:
             attempt.connection.close()
 
@@ -197,8 +201,6 @@
         if reason is None:
             reason = Reason.DEADLINE if now >= attempt.deadline_at else Reason.SHUTTING_DOWN
         self._settle_unanswered(replica, attempt, reason)
-        if not attempt.written and attempt.connection is not None:
-            attempt.connection.close()
 
     def abandon(self, replica: Replica | None, attempt: Attempt, reason: Reason) -> None:
         """Close the attempt's connection and settle it as not run only if nothing was written."""
--- a/libs/backends/tests/test_dispatcher.py
+++ b/libs/backends/tests/test_dispatcher.py
@@ -155,6 +155,7 @@
         outcomes = {r.attempt_id: (r.outcome, r.reason) for r in rig.results}
         self.assertEqual(unknown(Reason.SHUTTING_DOWN), outcomes["running"])
         self.assertEqual(not_run(Reason.SHUTTING_DOWN), outcomes["waiting"])
+        self.assertTrue(all(connection.closed for connection in rig.backend.connections))
 
     def test_drain_refuses_new_work_and_waits_for_old(self):
         """Guards against a planned stop that interrupts accepted work (promise 10)."""
