--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,7 +10,7 @@
 fi
 rm -rf target/app
 mkdir -p target/app
-for library in catalog sending relay entry; do
+for library in catalog sending relay delegation entry; do
     cp -R "libs/$library/src/zinnia_$library" target/app/
 done
 cp -R platform/zinnia_adapter platform/start.py target/app/
--- a/libs/catalog/src/zinnia_catalog/members.py
+++ b/libs/catalog/src/zinnia_catalog/members.py
@@ -18,15 +18,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One registered VM; ``peer_address`` is ``host:port``."""
+    """One registered VM; ``peer_address`` is ``host:port``, ``capacity`` is in cores."""
 
     vm: VmName
     peer_address: str
     data_centre: DataCentreId
+    capacity: float = 1.0
 
-    def write(self) -> dict[str, str]:
+    def write(self) -> dict[str, str | float]:
         """Return the document of the registration."""
-        return {"peer_address": self.peer_address, "data_centre": self.data_centre}
+        return {
+            "peer_address": self.peer_address,
+            "data_centre": self.data_centre,
+            "capacity": self.capacity,
+        }
 
 
 def read_member(name: str, document: Any) -> Member | None:
@@ -39,7 +44,10 @@
         return None
     if not address.rpartition(":")[2].isdigit():
         return None
-    return Member(VmName(name), address, DataCentreId(data_centre))
+    capacity = document.get("capacity", 1.0)
+    if isinstance(capacity, bool) or not isinstance(capacity, int | float):
+        return None
+    return Member(VmName(name), address, DataCentreId(data_centre), float(capacity))
 
 
 def rank_names(names: Iterable[str]) -> list[str]:
--- /dev/null
+++ b/libs/delegation/src/zinnia_delegation/messages.py
@@ -0,0 +1,138 @@
+"""Messages of a delegation, encoded with thrift's compact protocol."""
+
+from enum import Enum
+
+from thrift.protocol.TBase import TBase
+from thrift.Thrift import TType
+
+# First frame of a connection that carries delegations.
+GREETING = b"zinnia subqueries 1"
+
+
+class ReplyKind(Enum):
+    """What a reply says."""
+
+    ACCEPTED = 1
+    REFUSED = 2  # nothing was sent and nothing will be
+    RESULT = 3
+    ALIVE = 4
+
+
+class SubqueryStart(TBase):
+    """Asks for the answers of some shards to one request.
+
+    ``request`` is packed by the adapter. Times are microseconds from the receipt of the message,
+    ``target_us`` is the target latency of the route.
+    """
+
+    thrift_spec = (
+        None,
+        (1, TType.I64, "id", None, None),
+        (2, TType.STRING, "request", "BINARY", None),
+        (3, TType.STRING, "route", "UTF8", None),
+        (4, TType.LIST, "services", (TType.STRING, "UTF8", False), None),
+        (5, TType.I32, "max_attempts", None, None),
+        (6, TType.I32, "top_k", None, None),
+        (7, TType.I64, "target_us", None, None),
+        (8, TType.I64, "report_in_us", None, None),
+        (9, TType.I64, "end_in_us", None, None),
+        (10, TType.I32, "max_absent", None, None),
+        (11, TType.STRING, "vm", "UTF8", None),
+    )
+
+    def __init__(
+        self,
+        id: int = 0,  # noqa: A002 - name of the field
+        request: bytes = b"",
+        route: str = "",
+        services: list[str] | None = None,
+        max_attempts: int = 1,
+        top_k: int = 0,
+        target_us: int = 0,
+        report_in_us: int = 0,
+        end_in_us: int = 0,
+        max_absent: int = 1,
+        vm: str = "",
+    ) -> None:
+        self.id = id
+        self.request = request
+        self.route = route
+        self.services = services or []
+        self.max_attempts = max_attempts
+        self.top_k = top_k
+        self.target_us = target_us
+        self.report_in_us = report_in_us
+        self.end_in_us = end_in_us
+        self.max_absent = max_absent
+        self.vm = vm
+
+
+class SubqueryEnd(TBase):
+    """Tells that the request has ended; without an answer, its sends are to be cancelled."""
+
+    thrift_spec = (
+        None,
+        (1, TType.I64, "id", None, None),
+        (2, TType.BOOL, "is_answered", None, None),
+    )
+
+    def __init__(self, id: int = 0, is_answered: bool = False) -> None:  # noqa: A002
+        self.id = id
+        self.is_answered = is_answered
+
+
+class Call(TBase):
+    """One frame to the VM that sends: a start, an end, or neither to ask for a sign of life."""
+
+    thrift_spec = (
+        None,
+        (1, TType.STRUCT, "start", [SubqueryStart, SubqueryStart.thrift_spec], None),
+        (2, TType.STRUCT, "end", [SubqueryEnd, SubqueryEnd.thrift_spec], None),
+    )
+
+    def __init__(self, start: SubqueryStart | None = None, end: SubqueryEnd | None = None) -> None:
+        self.start = start
+        self.end = end
+
+
+class Reply(TBase):
+    """One frame back. ``kind`` is a ``ReplyKind``.
+
+    Shards are named by their place in the list of the start. ``hold_ms`` of a refusal is how long
+    the sender is to be left alone.
+    """
+
+    thrift_spec = (
+        None,
+        (1, TType.I64, "id", None, None),
+        (2, TType.I32, "kind", None, None),
+        (3, TType.LIST, "shards", (TType.I32, None, False), None),
+        (4, TType.LIST, "signatures", (TType.STRING, "BINARY", False), None),
+        (5, TType.STRING, "records", "BINARY", None),
+        (6, TType.LIST, "failed", (TType.I32, None, False), None),
+        (7, TType.LIST, "failed_sends", (TType.I32, None, False), None),
+        (8, TType.BOOL, "is_last", None, None),
+        (9, TType.I32, "hold_ms", None, None),
+    )
+
+    def __init__(
+        self,
+        id: int = 0,  # noqa: A002 - name of the field
+        kind: int = 0,
+        shards: list[int] | None = None,
+        signatures: list[bytes] | None = None,
+        records: bytes = b"",
+        failed: list[int] | None = None,
+        failed_sends: list[int] | None = None,
+        is_last: bool = False,
+        hold_ms: int = 0,
+    ) -> None:
+        self.id = id
+        self.kind = kind
+        self.shards = shards or []
+        self.signatures = signatures or []
+        self.records = records
+        self.failed = failed or []
+        self.failed_sends = failed_sends or []
+        self.is_last = is_last
+        self.hold_ms = hold_ms
--- /dev/null
+++ b/libs/delegation/tests/test_ranking.py
@@ -0,0 +1,61 @@
+import unittest
+
+from zinnia_catalog.members import Member
+from zinnia_delegation.ranking import MAX_PARTS, classify_speed, rank_members, split_shards
+
+SHARDS = [f"s{number}" for number in range(90)]
+MIN_SHARDS = 48
+
+
+def make_members(fast, slow):
+    rows = [Member(f"fast-{number}", "h:1", "dc1", 2.15) for number in range(fast)]
+    return rows + [Member(f"slow-{number}", "h:1", "dc1", 0.516) for number in range(slow)]
+
+
+class RankingTest(unittest.TestCase):
+    def split(self, members, own, usable, services=SHARDS):
+        ranked = [rank_members(members, part) for part in range(MAX_PARTS)]
+        return split_shards(services, ranked, {own, *usable}, own, MIN_SHARDS)
+
+    def test_slow_vm_hands_all_shards_to_the_fast_ones(self):
+        """Load pattern: fan-outs over 90 shards that enter at VMs with half a core."""
+        found = self.split(make_members(2, 20), "slow-3", {"fast-0", "fast-1"})
+        self.assertEqual({"fast-0", "fast-1"}, {row.vm for row in found})
+        self.assertEqual(sorted(SHARDS), sorted(name for row in found for name in row.services))
+        self.assertEqual([45, 45], [len(row.services) for row in found])
+
+    def test_fast_vm_keeps_its_own_part(self):
+        """Guards against a hop that only costs time."""
+        (found,) = self.split(make_members(2, 20), "fast-0", {"fast-1"})
+        self.assertEqual(("fast-1", 45), (found.vm, len(found.services)))
+
+    def test_every_vm_gives_a_part_to_the_same_vm(self):
+        """Guards against connections to replicas that are used too seldom to be kept."""
+        members = make_members(0, 12)
+        names = {row.vm for row in members}
+        seen = set()
+        for member in members:
+            seen |= {(row.vm, row.services) for row in self.split(members, member.vm, names)}
+        self.assertEqual(MAX_PARTS, len(seen))
+
+    def test_next_vm_takes_the_part_of_one_that_is_lost(self):
+        """Load pattern: VMs are killed or cut off."""
+        (found,) = self.split(make_members(2, 20), "slow-3", {"fast-1"})
+        self.assertEqual(("fast-1", 90), (found.vm, len(found.services)))
+        found = self.split(make_members(2, 20), "slow-3", {"slow-1", "slow-2"})
+        self.assertEqual(
+            90, len({name for row in found for name in row.services}) + 30 * (3 - len(found))
+        )
+
+    def test_all_is_sent_from_here_without_other_vms_or_for_few_shards(self):
+        """Guards against a VM that serves nothing while it is alone."""
+        members = make_members(2, 20)
+        self.assertEqual([], self.split(members, "slow-3", ()))
+        self.assertEqual([], self.split(members, "slow-3", {"fast-0"}, SHARDS[: MIN_SHARDS - 1]))
+        self.assertEqual([], split_shards(SHARDS, [], {"slow-3"}, "slow-3", MIN_SHARDS))
+
+    def test_speed_classes_are_a_factor_of_two_apart(self):
+        """Guards against a rank that follows small differences of processors."""
+        self.assertEqual(
+            [-1, 0, 0, 1, 2], [classify_speed(row) for row in (0.5, 0.9, 1.1, 2.15, 4)]
+        )
--- a/libs/entry/src/zinnia_entry/handler.py
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -1,24 +1,22 @@
 """Handles one caller's request: route, run, reply."""
 
-from dataclasses import dataclass
-
 import trio
 
 from zinnia_catalog.catalog import Catalog
-from zinnia_catalog.ids import RouteName, ServiceName
+from zinnia_catalog.ids import ServiceName
 from zinnia_catalog.routes import Route
 from zinnia_entry.logs import RequestLog, RequestRecord
 from zinnia_entry.messages import CallerFacts, CallerProtocol, CallerReply, CallerRequest
 from zinnia_entry.metrics import Metrics
 from zinnia_entry.reasons import RefusalReason, RequestOutcome
+from zinnia_entry.routestates import RouteState, RouteStates
 from zinnia_entry.server import RequestHandler
 from zinnia_sending.attempts import AttemptSender, RunRequest
 from zinnia_sending.budgets import RetryBudget
+from zinnia_sending.delegation import Delegator
 from zinnia_sending.fleet import Fleet
-from zinnia_sending.latency import LatencyHistogram
 from zinnia_sending.merge import merge_records
 from zinnia_sending.runs import RequestRun, RunOutcome, RunVerdict
-from zinnia_sending.weights import WeightedChoice
 
 # A configuration that is not known yet usually arrives within this time, in seconds.
 CONFIGURATION_RETRY_S = 0.5
@@ -30,28 +28,10 @@
 CALLER_ROUND_TRIP_S = 0.002
 # A request that opens its connection has spent another round trip.
 CONNECT_ROUND_TRIP_S = 0.002
-# Weight of what is known in the running average of the delay of seals.
-LAG_MEMORY = 0.9
-# Part of the target latency that a replica usually takes, until latencies were measured.
-USUAL_PART = 0.2
 # Difference of a deadline from the longest one of its route that tells a caller's later attempt.
 REPEAT_GAP_S = 0.02
 
 
-@dataclass(slots=True)
-class RouteState:
-    """What a VM learns of one route: latencies, weights, and the deadline of first attempts."""
-
-    latency: LatencyHistogram
-    weights: WeightedChoice
-    full_deadline_s: float = 0.0
-    seal_lag_s: float = 0.0
-
-    def record_lag(self, lag_s: float) -> None:
-        """Note the delay from a planned seal to its reply; a larger one counts at once."""
-        self.seal_lag_s = max(lag_s, self.seal_lag_s * LAG_MEMORY + lag_s * (1 - LAG_MEMORY))
-
-
 class TierHandler(RequestHandler):
     """Answers requests of callers with answers of replicas."""
 
@@ -64,6 +44,8 @@
         protocol: CallerProtocol,
         metrics: Metrics,
         log: RequestLog,
+        states: RouteStates,
+        delegator: Delegator | None = None,
     ) -> None:
         self._catalog = catalog
         self._fleet = fleet
@@ -72,7 +54,8 @@
         self._protocol = protocol
         self._metrics = metrics
         self._log = log
-        self._routes: dict[RouteName, RouteState] = {}
+        self._states = states
+        self._delegator = delegator
 
     async def handle(self, request: CallerRequest) -> CallerReply:
         """Return the reply to a request."""
@@ -98,7 +81,7 @@
             self._metrics.count_phases(request.received_at, run.timing, trio.current_time())
 
     def _make_run(self, request: CallerRequest, facts: CallerFacts, route: Route) -> RequestRun:
-        state = self._get_state(route)
+        state = self._states.get(route.name, route.target_latency_s)
         limit_s = route.timeout_s
         elapsed_s = CALLER_ROUND_TRIP_S
         if request.is_first:
@@ -121,7 +104,7 @@
             latency=state.latency,
             seal_lag_s=state.seal_lag_s,
         )
-        return RequestRun(run_request, self._fleet, self._budget, self._sender)
+        return RequestRun(run_request, self._fleet, self._budget, self._sender, self._delegator)
 
     def _choose_service(self, route: Route, state: RouteState) -> ServiceName:
         return (
@@ -136,15 +119,6 @@
         elapsed_s = state.full_deadline_s - deadline_s
         return elapsed_s if elapsed_s > REPEAT_GAP_S else 0.0
 
-    def _get_state(self, route: Route) -> RouteState:
-        state = self._routes.get(route.name)
-        if state is None:
-            guess_s = route.target_latency_s * USUAL_PART
-            state = self._routes[route.name] = RouteState(
-                LatencyHistogram(guess_s), WeightedChoice()
-            )
-        return state
-
     def _reply(
         self, request: CallerRequest, facts: CallerFacts, route: Route, outcome: RunOutcome
     ) -> CallerReply:
@@ -173,7 +147,9 @@
         signatures = [answer.signature for answer in outcome.answers]
         reply = self._protocol.make_merged(signatures, outcome.missing, body)
         if outcome.planned_seal_at is not None:
-            self._get_state(route).record_lag(trio.current_time() - outcome.planned_seal_at)
+            self._states.get(route.name, route.target_latency_s).record_lag(
+                trio.current_time() - outcome.planned_seal_at
+            )
         self._finish(request, facts, route, result, None, outcome.trace, outcome.missing)
         return reply
 
--- a/libs/entry/src/zinnia_entry/logs.py
+++ b/libs/entry/src/zinnia_entry/logs.py
@@ -12,9 +12,9 @@
 import trio.lowlevel
 from loguru import logger
 
-from zinnia_entry.reasons import RefusalReason, RequestOutcome
+from zinnia_entry.reasons import RefusalReason, RequestOutcome, SubqueryOutcome
 from zinnia_sending.events import EventSink
-from zinnia_sending.runs import TraceStep
+from zinnia_sending.shards import TraceStep
 
 # Lines that wait for a slow reader; more are dropped and counted.
 MAX_WAITING_LINES = 2000
@@ -147,14 +147,22 @@
         self._writer.put(record["message"], text.encode())
 
 
+ORDINARY_OUTCOMES = frozenset(
+    (RequestOutcome.COMPLETE, SubqueryOutcome.COMPLETE, SubqueryOutcome.ENDED)
+)
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRecord:
-    """One finished request with the beliefs that it was decided on."""
+    """One finished request with the beliefs that it was decided on.
+
+    ``delegated_by`` names the VM for which this one ran some of its shards, None for an own one.
+    """
 
     request_id: bytes
     deadline_s: float | None
     route: str | None
-    outcome: RequestOutcome
+    outcome: RequestOutcome | SubqueryOutcome
     reason: RefusalReason | None
     duration_s: float
     is_late: bool
@@ -162,11 +170,12 @@
     trace: tuple[TraceStep, ...]
     configuration: int | None
     replicas_known: int
+    delegated_by: str | None = None
 
     @property
     def is_unusual(self) -> bool:
         """Whether the request failed, was late or lacked shards."""
-        return self.is_late or self.outcome is not RequestOutcome.COMPLETE
+        return self.is_late or self.outcome not in ORDINARY_OUTCOMES
 
 
 class RequestLog:
@@ -207,11 +216,13 @@
     def _write(self, record: RequestRecord) -> None:
         write = self._events.note if record.is_unusual else self._events.note_ordinary
         request_id = record.request_id.decode("latin-1")
+        subject = "request" if record.delegated_by is None else "subquery"
         for step in record.trace:
             at_ms = round(step.offset_s * 1000, 1)
-            write(f"request_{step.event}", request=request_id, at_ms=at_ms, **step.fields)
+            write(f"{subject}_{step.event}", request=request_id, at_ms=at_ms, **step.fields)
+        origin = {} if record.delegated_by is None else {"delegated_by": record.delegated_by}
         write(
-            "request_finished",
+            f"{subject}_finished",
             request=request_id,
             route=record.route,
             outcome=record.outcome.value,
@@ -222,6 +233,7 @@
             deadline_s=record.deadline_s,
             configuration=record.configuration,
             replicas_known=record.replicas_known,
+            **origin,
         )
 
 
--- a/libs/entry/src/zinnia_entry/metrics.py
+++ b/libs/entry/src/zinnia_entry/metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-from zinnia_entry.reasons import Phase, RefusalReason, RequestOutcome
+from zinnia_entry.reasons import Phase, RefusalReason, RequestOutcome, SubqueryOutcome
 from zinnia_sending.answers import ExchangeResult
 from zinnia_sending.attempts import SendReason
 from zinnia_sending.counters import SendCounters
@@ -19,6 +19,9 @@
         self._requests = self._make_histogram(
             "zinnia_request_seconds", "Time to reply", ["route", "outcome"]
         )
+        self._subqueries = self._make_histogram(
+            "zinnia_subquery_seconds", "Time of shards that were run for other VMs", ["outcome"]
+        )
         self._exchanges = self._make_histogram(
             "zinnia_exchange_seconds", "Time of exchanges with replicas", ["result"]
         )
@@ -68,6 +71,10 @@
         """Count a request of a caller."""
         self._requests.labels(route, outcome.value).observe(duration_s)
 
+    def count_subquery(self, outcome: SubqueryOutcome, duration_s: float) -> None:
+        """Count shards that were run for another VM."""
+        self._subqueries.labels(outcome.value).observe(duration_s)
+
     def count_phases(self, received_at: float, timing: RunTiming, now: float) -> None:
         """Count the time of a request in each phase that it reached; it ended now."""
         observe = self._time_by_phase
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -13,15 +13,20 @@
 from zinnia_catalog.objects import ObjectKind, ObjectStore, StoreError
 from zinnia_catalog.observations import Observation
 from zinnia_catalog.routes import CallerLimits
+from zinnia_delegation.delegator import PeerDelegator
+from zinnia_delegation.messages import GREETING
+from zinnia_delegation.server import SubqueryServer
 from zinnia_entry.handler import TierHandler
 from zinnia_entry.logs import EventLog, RequestLog
 from zinnia_entry.messages import CallerProtocol
 from zinnia_entry.metrics import Metrics
 from zinnia_entry.probes import MetricsHandler, ReadinessHandler
 from zinnia_entry.releases import ReleaseDriver
+from zinnia_entry.routestates import RouteStates
 from zinnia_entry.server import CallerServer, open_listener
 from zinnia_entry.settings import EntrySettings, SettingsError
 from zinnia_entry.sources import FOLLOWED_KINDS, SourceController, make_member
+from zinnia_entry.subqueries import TierSubqueries
 from zinnia_relay.beliefs import Beliefs, ReplicaObserver
 from zinnia_relay.server import RelayServer
 from zinnia_sending.budgets import RetryBudget
@@ -113,8 +118,12 @@
         self._releases = ReleaseDriver(
             self._fleet.versions, adapter.store, self.get_rank, events, trio.current_time
         )
-        self._relay = RelayServer(settings.vm, self._beliefs)
         self._request_log = RequestLog(events)
+        self._states = RouteStates()
+        self._delegator = PeerDelegator(
+            make_member(settings), lambda: self.catalog.members, events, settings.delegate_from
+        )
+        self._subqueries: SubqueryServer | None = None
         self._is_stopping = False
         self._servers: list[CallerServer] = []
 
@@ -187,6 +196,8 @@
             self._adapter.callers,
             self.metrics,
             self._request_log,
+            self._states,
+            self._delegator if settings.peers is not None else None,
         )
         callers = CallerServer(handler, self._get_limits, self.events)
         self._servers.append(callers)
@@ -201,7 +212,9 @@
             )
             nursery.start_soon(metrics.serve, settings.metrics.host, settings.metrics.port, nursery)
         if settings.peers is not None:
+            self._subqueries = self._make_subqueries(dispatcher)
             nursery.start_soon(self._serve_peers, settings.peers.host, settings.peers.port)
+            nursery.start_soon(self._delegator.run)
         nursery.start_soon(self._sources.run)
         nursery.start_soon(self._releases.run)
         nursery.start_soon(self._keep_up)
@@ -209,9 +222,24 @@
         nursery.start_soon(self.events.run)
         nursery.start_soon(self._request_log.run)
 
+    def _make_subqueries(self, sender: Dispatcher) -> SubqueryServer:
+        handler = TierSubqueries(
+            self.catalog,
+            self._fleet,
+            self._budget,
+            sender,
+            self._adapter.replicas,
+            self._states,
+            self.metrics,
+            self._request_log,
+        )
+        return SubqueryServer(handler, self._settings.capacity)
+
     async def _serve_peers(self, host: str, port: int) -> None:
+        protocols = {GREETING: self._subqueries.serve}
+        relay = RelayServer(self._settings.vm, self._beliefs, protocols)
         listener = trio.SocketListener(await open_listener(host, port))
-        await trio.serve_listeners(self._relay.serve_stream, [listener])
+        await trio.serve_listeners(relay.serve_stream, [listener])
 
     def _get_limits(self) -> CallerLimits:
         configuration = self.catalog.configuration
@@ -271,6 +299,8 @@
         """Lose readiness, finish requests, and return when none is left."""
         started = trio.current_time()
         self._is_stopping = True
+        if self._subqueries is not None:
+            self._subqueries.is_stopping = True
         for server in self._servers:
             server.is_draining = True
         self.events.note("stopping", busy=sum(server.busy for server in self._servers))
--- a/libs/entry/src/zinnia_entry/reasons.py
+++ b/libs/entry/src/zinnia_entry/reasons.py
@@ -25,6 +25,15 @@
     MERGE = "merge"
 
 
+class SubqueryOutcome(Enum):
+    """How the shards that this VM ran for another one ended."""
+
+    COMPLETE = "complete"
+    PARTIAL = "partial"
+    ENDED = "ended"  # the request was answered before all shards were in
+    CANCELLED = "cancelled"  # the request was given up, or the other VM is gone
+
+
 class RequestOutcome(Enum):
     """How a request ended, from its caller's view."""
 
--- a/libs/entry/src/zinnia_entry/settings.py
+++ b/libs/entry/src/zinnia_entry/settings.py
@@ -5,6 +5,9 @@
 from zinnia_catalog.ids import DataCentreId, VmName
 from zinnia_sending.budgets import RetryBounds
 
+# A fan-out over fewer shards is not worth a hop: sending it takes a few milliseconds anywhere.
+DELEGATE_FROM_SHARDS = 48
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -22,7 +25,8 @@
     """What one VM needs to serve.
 
     ``seeds`` are peer addresses of some other VMs; ``expected_vms`` is the least number of VMs that
-    bounds over the fleet are shared among. Times are in seconds.
+    bounds over the fleet are shared among. ``capacity`` is the processor time that the VM has, in
+    cores. A fan-out over ``delegate_from`` shards or more is split over VMs. Times are in seconds.
     """
 
     vm: VmName
@@ -36,6 +40,8 @@
     retry_bounds: RetryBounds
     grace_period_s: float
     expected_vms: int = 1
+    capacity: float = 1.0
+    delegate_from: int = DELEGATE_FROM_SHARDS
 
 
 class SettingsError(Exception):
--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -260,4 +260,4 @@
 def make_member(settings: EntrySettings) -> Member:
     """Return the registration of this VM."""
     address = str(settings.peers or settings.callers)
-    return Member(settings.vm, address, settings.data_centre)
+    return Member(settings.vm, address, settings.data_centre, settings.capacity)
--- a/libs/entry/tests/test_logs.py
+++ b/libs/entry/tests/test_logs.py
@@ -13,7 +13,7 @@
     is_sampled,
 )
 from zinnia_entry.reasons import RefusalReason, RequestOutcome
-from zinnia_sending.runs import TraceStep
+from zinnia_sending.shards import TraceStep
 
 
 def make_record(outcome=RequestOutcome.COMPLETE, request_id=b"1", **fields):
--- a/libs/entry/tests/test_operations.py
+++ b/libs/entry/tests/test_operations.py
@@ -10,10 +10,13 @@
 SOURCES = [
     *(ROOT / "libs" / "sending" / "src").rglob("*.py"),
     *(ROOT / "libs" / "entry" / "src").rglob("*.py"),
+    *(ROOT / "libs" / "delegation" / "src").rglob("*.py"),
     *(ROOT / "platform" / "zinnia_adapter").rglob("*.py"),
 ]
 EVENT = re.compile(r"\b_?note(?:_ordinary)?\(\s*\"([a-z_]+)\"")
 STEP = re.compile(r"self\._note\(\s*\"([a-z_]+)\"")
+# Whose log lines the steps of a file become: steps on shards are those of both kinds of run.
+SUBJECTS_OF_STEPS = {"runs.py": ("request",), "shards.py": ("request", "subquery")}
 NAME = re.compile(r"`([a-z_]+)`")
 
 
@@ -33,11 +36,12 @@
 
     def test_each_event_has_a_row_and_no_row_is_left_over(self):
         """Guards against a log line that operators meet and cannot look up."""
-        events = {"request_finished", "log_lines_dropped"}
+        events = {"request_finished", "subquery_finished", "log_lines_dropped"}
         for path in SOURCES:
             text = path.read_text()
-            steps = set(STEP.findall(text)) if path.name == "runs.py" else set()
-            events |= {f"request_{step}" for step in steps}
+            steps = set(STEP.findall(text)) if path.name in SUBJECTS_OF_STEPS else set()
+            for subject in SUBJECTS_OF_STEPS.get(path.name, ()):
+                events |= {f"{subject}_{step}" for step in steps}
             events |= set(EVENT.findall(text)) - steps
         self.assertEqual(events, read_section("Log events of the entry process"))
 
--- a/libs/relay/src/zinnia_relay/client.py
+++ b/libs/relay/src/zinnia_relay/client.py
@@ -4,8 +4,7 @@
 
 from zinnia_relay.beliefs import Beliefs
 from zinnia_relay.frames import FrameError, FrameStream
-from zinnia_relay.messages import Update, decode, encode
-from zinnia_relay.server import DECODE_ERRORS
+from zinnia_relay.messages import DECODE_ERRORS, Update, decode, encode
 
 CONNECT_TIMEOUT_S = 0.3
 # Time beyond the requested wait after which a peer counts as lost.
--- a/libs/relay/src/zinnia_relay/frames.py
+++ b/libs/relay/src/zinnia_relay/frames.py
@@ -20,9 +20,10 @@
         self._stream = stream
         self._buffer = bytearray()
 
-    async def send(self, payload: bytes) -> None:
-        """Send one frame."""
-        await self._stream.send_all(LENGTH.pack(len(payload)) + payload)
+    async def send(self, *payloads: bytes) -> None:
+        """Send frames."""
+        pieces = [LENGTH.pack(len(payload)) + payload for payload in payloads]
+        await self._stream.send_all(b"".join(pieces))
 
     async def receive(self) -> bytes:
         """Return the next frame.
--- a/libs/relay/src/zinnia_relay/messages.py
+++ b/libs/relay/src/zinnia_relay/messages.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from thrift.protocol.TBase import TBase
-from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.protocol.TProtocol import TProtocolException
 from thrift.Thrift import TType
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -14,6 +15,9 @@
 from zinnia_catalog.objects import Change, Changes, Listing, StoredObject
 from zinnia_catalog.observations import Observation
 
+# What decoding bytes that are no message may raise.
+DECODE_ERRORS = (TProtocolException, EOFError, ValueError, TypeError, KeyError)
+
 
 class ObjectRecord(TBase):
     """One object with its documents as JSON, or the name of a removed one."""
@@ -58,7 +62,7 @@
             4,
             TType.LIST,
             "records",
-            (TType.STRUCT, (ObjectRecord, ObjectRecord.thrift_spec), False),
+            (TType.STRUCT, [ObjectRecord, ObjectRecord.thrift_spec], False),
             None,
         ),
         (5, TType.I64, "age_ms", None, None),
@@ -98,7 +102,7 @@
         self.age_ms = age_ms
 
 
-OBSERVED_LIST = (TType.STRUCT, (ObservedReplica, ObservedReplica.thrift_spec), False)
+OBSERVED_LIST = (TType.STRUCT, [ObservedReplica, ObservedReplica.thrift_spec], False)
 
 
 class Follow(TBase):
@@ -131,7 +135,7 @@
     thrift_spec = (
         None,
         (1, TType.STRING, "vm", "UTF8", None),
-        (2, TType.LIST, "kinds", (TType.STRUCT, (KindUpdate, KindUpdate.thrift_spec), False), None),
+        (2, TType.LIST, "kinds", (TType.STRUCT, [KindUpdate, KindUpdate.thrift_spec], False), None),
         (3, TType.LIST, "observed", OBSERVED_LIST, None),
     )
 
@@ -149,14 +153,14 @@
 def encode(message: TBase) -> bytes:
     """Return a message's bytes."""
     buffer = TMemoryBuffer()
-    message.write(TCompactProtocol(buffer))
+    message.write(TCompactProtocolAccelerated(buffer))
     return buffer.getvalue()
 
 
 def decode(kind: type[TBase], data: bytes) -> Any:
     """Return a message; raises any error of the codec for bytes that are none."""
     message = kind()
-    message.read(TCompactProtocol(TMemoryBuffer(data)))
+    message.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
     return message
 
 
--- a/libs/sending/src/zinnia_sending/attempts.py
+++ b/libs/sending/src/zinnia_sending/attempts.py
@@ -25,6 +25,7 @@
     RETRY_WRONG_REPLICA = "retry_wrong_replica"
     RETRY_FAILED = "retry_failed"
     RETRY_BROKEN = "retry_broken"
+    RETRY_DELEGATED = "retry_delegated"
 
 
 @dataclass(slots=True)
@@ -52,7 +53,7 @@
     """How far one shard of a request has come.
 
     ``sends`` counts the sends that may have reached a replica; ``may_have_run`` is set once one of
-    them may have run.
+    them may have run. ``is_delegated`` tells whether another VM sends for the shard.
     """
 
     service: ServiceName
@@ -64,6 +65,7 @@
     is_settled: bool = False
     may_have_run: bool = False
     is_hedged: bool = False
+    is_delegated: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -149,6 +149,10 @@
         """Take the order of a version move."""
         self.versions.change_order(service, order, trio.current_time())
 
+    def has_replica(self, service: ServiceName) -> bool:
+        """Whether any replica of a service is known."""
+        return service in self._services
+
     def get_replica(self, replica: ReplicaId) -> Replica | None:
         """Return a replica by its id."""
         return self._replicas.get(replica)
--- a/libs/sending/src/zinnia_sending/protocol.py
+++ b/libs/sending/src/zinnia_sending/protocol.py
@@ -17,6 +17,10 @@
     def render(self, replica: ReplicaId, remaining_s: float) -> bytes:
         """Return the bytes of the request for one replica with the time that is left."""
 
+    @abstractmethod
+    def pack(self) -> bytes:
+        """Return the request as another VM can unpack it."""
+
 
 class ReplicaProtocol(ABC):
     """Reads what the headers of an answer say."""
@@ -24,3 +28,13 @@
     @abstractmethod
     def read_facts(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> AnswerFacts:
         """Return what an answer's headers say; names are in lower case."""
+
+    @abstractmethod
+    def unpack(self, data: bytes) -> PreparedRequest:
+        """Return a request that another VM has packed.
+
+        Raises
+        ------
+        ValueError
+            The bytes are no packed request.
+        """
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -2,46 +2,40 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
 import trio
 
-from zinnia_sending.answers import Exchange, ExchangeResult, ReplicaAnswer
-from zinnia_sending.attempts import (
-    Attempt,
-    AttemptSender,
-    RunRequest,
-    SendReason,
-    ShardProgress,
-)
+from zinnia_sending.answers import ReplicaAnswer
+from zinnia_sending.attempts import AttemptSender, RunRequest, SendReason, ShardProgress
 from zinnia_sending.budgets import RetryBudget
+from zinnia_sending.delegation import (
+    Assignment,
+    Delegation,
+    DelegationEnd,
+    DelegationListener,
+    Delegator,
+    PartialResult,
+)
 from zinnia_sending.fleet import Fleet
-from zinnia_sending.replica import Replica
+from zinnia_sending.shards import ShardRun, TraceStep, read_arrived
 
-# Part of the allowed extra sends that hedges leave for retries after failures.
-HEDGE_RESERVE = 0.15
 # Time before the target latency at which an incomplete answer is sealed, as a part of the target,
 # beside the delay that this VM has seen between that time and its reply.
 SEAL_MARGIN_PART = 0.07
 MIN_SEAL_MARGIN_S = 0.007
 # An answer that is sealed later than this waited for parts, not for the processor.
 LONGEST_LAG_S = 0.03
-# Time before the end of a request at which it is given up.
-END_MARGIN_S = 0.03
-# Passes of the event loop before a decision by time.
-READ_PASSES = 2
-
-RETRY_REASONS = {
-    ExchangeResult.NOT_SENT: SendReason.RETRY_NOT_SENT,
-    ExchangeResult.NOT_RUN: SendReason.RETRY_NOT_RUN,
-    ExchangeResult.WRONG_REPLICA: SendReason.RETRY_WRONG_REPLICA,
-    ExchangeResult.FAILED: SendReason.RETRY_FAILED,
-    ExchangeResult.BROKEN: SendReason.RETRY_BROKEN,
-}
-# Results after which nothing has arrived at the replica that was meant.
-NO_ARRIVAL = frozenset((ExchangeResult.NOT_SENT, ExchangeResult.WRONG_REPLICA))
+# A VM that has not accepted its shards after this time is taken for lost: some round trips within
+# a data centre, and a few milliseconds in which its processor is busy.
+ACCEPT_TIMEOUT_S = 0.025
+# Time before the seal of an incomplete answer at which other VMs report what is in.
+REPORT_LEAD_S = 0.004
+# A VM that has not reported this long after the seal is taken for lost.
+REPORT_GRACE_S = 0.012
+# Sends that a lost VM may have made for each shard: the first one and a hedge.
+LOST_SENDS = 2
 
 
 class RunVerdict(Enum):
@@ -55,15 +49,6 @@
     REJECTED = "rejected"
 
 
-@dataclass(frozen=True, slots=True)
-class TraceStep:
-    """One decision of a run, ``offset_s`` seconds after the request was received."""
-
-    offset_s: float
-    event: str
-    fields: dict
-
-
 @dataclass(slots=True)
 class RunTiming:
     """When a run first sent and when it was sealed, on the runtime's clock; None if it did not."""
@@ -92,44 +77,32 @@
     planned_seal_at: float | None = None
 
 
-class RequestRun:
-    """Sends one request to a replica of each of its services until it can be answered.
+class RequestRun(ShardRun, DelegationListener):
+    """Runs a request of a caller until it can be answered.
 
     Parameters
     ----------
-    request : RunRequest
-        What to run.
-    fleet : Fleet
-        Chooses replicas.
-    budget : RetryBudget
-        Pays for hedges and retries.
-    sender : AttemptSender
-        Carries out the attempts.
+    request, fleet, budget, sender
+        As for ``ShardRun``.
+    delegator : Delegator, optional
+        Has other VMs run shards of a request over many.
     """
 
     def __init__(
-        self, request: RunRequest, fleet: Fleet, budget: RetryBudget, sender: AttemptSender
+        self,
+        request: RunRequest,
+        fleet: Fleet,
+        budget: RetryBudget,
+        sender: AttemptSender,
+        delegator: Delegator | None = None,
     ) -> None:
-        self._request = request
-        self._fleet = fleet
-        self._budget = budget
-        self._sender = sender
-        self._shards = [ShardProgress(service) for service in request.services]
-        self._wake = trio.Event()
-        self._is_sealed = False
+        super().__init__(request, fleet, budget, sender)
         self.timing = RunTiming()
-        self._trace: list[TraceStep] = []
-        self._pending = len(self._shards)
-        self._answered = 0
+        self._delegator = delegator if request.is_fanout else None
+        self._delegations: list[Delegation] = []
         target_s = request.target_at - request.received_at
         margin_s = max(MIN_SEAL_MARGIN_S, SEAL_MARGIN_PART * target_s) + request.seal_lag_s
         self._seal_at = request.target_at - margin_s if request.is_fanout else request.end_at
-        self._end_at = request.end_at - END_MARGIN_S
-
-    @property
-    def trace(self) -> tuple[TraceStep, ...]:
-        """The decisions so far."""
-        return tuple(self._trace)
 
     async def run(self) -> RunOutcome:
         """Run the request; on cancellation all of its sends are cancelled."""
@@ -139,100 +112,89 @@
             return self._seal()
         finally:
             self._is_sealed = True
-            self._release_attempts()
+            is_answered = self._is_enough(self._answered)
+            self._release_attempts(is_answered)
+            self._release_delegations(is_answered)
 
-    def settle(self, attempt: Attempt, exchange: Exchange) -> None:
-        """Take the end of an attempt."""
-        shard = attempt.shard
-        shard.live.remove(attempt)
-        if self._is_sealed or shard.is_settled:
+    def take_result(self, delegation: Delegation, result: PartialResult) -> None:
+        """Take answers that another VM has merged; the first one carries their records."""
+        if self._is_sealed:
             return
-        if exchange.result is not ExchangeResult.ANSWERED or attempt.reason is not SendReason.FIRST:
-            self._note_end(attempt, exchange)
-        if exchange.result.may_have_run:
-            shard.may_have_run = True
-        if self._accept(shard, exchange):
-            return
-        if exchange.result in NO_ARRIVAL:
-            shard.sends -= 1
-        if self._retry(shard, attempt, exchange.result):
+        records = result.records
+        for service, signature in result.signatures:
+            shard = delegation.shards.get(service)
+            if shard is None or shard.is_settled:
+                continue
+            shard.answer = ReplicaAnswer(200, (), records, signature)
+            records = b""
+            self._answered += 1
+            self._settle_shard(shard)
+        for failure in result.failures:
+            shard = delegation.shards.get(failure.service)
+            if shard is not None and not shard.is_settled:
+                shard.sends = failure.sends
+                self._run_here(shard)
+
+    def end_delegation(self, delegation: Delegation, end: DelegationEnd) -> None:
+        """Send for the shards of a VM that is out from here."""
+        if self._is_sealed:
             return
-        if not shard.live:
+        open_shards = [row for row in delegation.shards.values() if not row.is_settled]
+        self._note(
+            "delegation_ended",
+            peer=delegation.assignment.vm,
+            cause=end.value,
+            open_shards=len(open_shards),
+        )
+        for shard in open_shards:
+            shard.sends = LOST_SENDS if end.may_have_sent else 0
+            self._run_here(shard)
+
+    def _run_here(self, shard: ShardProgress) -> None:
+        """Send from this VM for a shard that another one has not got an answer for."""
+        shard.is_delegated = False
+        shard.may_have_run = shard.may_have_run or shard.sends > 0
+        reason = SendReason.RETRY_DELEGATED if shard.sends else SendReason.FIRST
+        is_late = trio.current_time() >= self._end_at
+        if is_late or not self._start(shard, reason, ()):
             self._settle_shard(shard)
 
-    def _accept(self, shard: ShardProgress, exchange: Exchange) -> bool:
-        answer = exchange.answer
-        if exchange.result is ExchangeResult.FAILED:
-            shard.failure = answer
-        if exchange.result is not ExchangeResult.ANSWERED or answer is None:
-            return False
-        if self._request.is_fanout and not answer.is_success:
-            return False
-        shard.answer = answer
-        self._answered += 1
-        self._settle_shard(shard)
-        return True
-
-    def _settle_shard(self, shard: ShardProgress) -> None:
-        shard.is_settled = True
-        self._pending -= 1
-        self._wake.set()
-
     def _start_first(self) -> bool:
-        """Send to a replica of each service; nothing is sent if too few services have one."""
-        now = trio.current_time()
-        planned = []
-        for shard in self._shards:
-            self._budget.count_request(shard.service, now)
-            replica = self._fleet.choose(shard.service, (), now)
-            if replica is None:
-                self._note_absence(shard, SendReason.FIRST, (), now)
-                self._settle_shard(shard)
-            else:
-                planned.append((shard, replica))
-        if not self._is_enough(len(planned)):
+        """Send for each service; nothing is sent if too few services have a replica."""
+        assignments = self._assign()
+        named = {service for row in assignments for service in row.services}
+        delegated = [shard for shard in self._shards if shard.service in named]
+        planned = self._plan(shard for shard in self._shards if shard.service not in named)
+        if not self._is_enough(len(planned) + len(delegated)):
             return False
+        now = trio.current_time()
         self.timing.sent_at = now
+        for shard in delegated:
+            shard.is_delegated = True
+        for assignment in assignments:
+            self._delegate(assignment)
         for shard, replica in planned:
             self._send(shard, replica, SendReason.FIRST, now)
         return True
 
-    def _retry(self, shard: ShardProgress, attempt: Attempt, result: ExchangeResult) -> bool:
-        """Send again after a failure, if that is allowed and useful."""
-        is_safe = self._request.route.is_idempotent or not result.may_have_run
-        if not is_safe or result is ExchangeResult.CANCELLED:
-            return False
-        if trio.current_time() >= self._end_at:
-            return False
-        reason = RETRY_REASONS.get(result, SendReason.RETRY_FAILED)
-        if self._start(shard, reason, shard.tried):
-            return True
-        if not result.may_have_run:
-            return False
-        return self._start(shard, reason, [other.replica.id for other in shard.live])
-
-    def _start(self, shard: ShardProgress, reason: SendReason, excluded: Collection[str]) -> bool:
-        now = trio.current_time()
-        if shard.sends >= self._request.route.max_attempts:
-            return False
-        replica = self._fleet.choose(shard.service, excluded, now)
-        if replica is None:
-            self._note_absence(shard, reason, excluded, now)
-            return False
-        reserve = HEDGE_RESERVE if reason is SendReason.HEDGE else 0.0
-        if shard.sends and not self._budget.take(shard.service, now, reserve):
-            self._note("budget_spent", service=shard.service, reason=reason.value)
-            return False
-        self._note("sent", service=shard.service, replica=replica.id, reason=reason.value)
-        self._send(shard, replica, reason, now)
-        return True
-
-    def _send(self, shard: ShardProgress, replica: Replica, reason: SendReason, now: float) -> None:
-        attempt = Attempt(shard, replica, reason, now, self._request, self.settle)
-        shard.tried.append(replica.id)
-        shard.live.append(attempt)
-        shard.sends += 1
-        self._sender.start(attempt)
+    def _assign(self) -> list[Assignment]:
+        """Return what other VMs are to run, if enough shards have a replica at all."""
+        if self._delegator is None:
+            return []
+        services = self._request.services
+        if not self._is_enough(sum(self._fleet.has_replica(service) for service in services)):
+            return []
+        return self._delegator.assign(services)
+
+    def _delegate(self, assignment: Assignment) -> None:
+        services = set(assignment.services)
+        shards = {row.service: row for row in self._shards if row.service in services}
+        allowed = int(len(self._shards) * (1.0 - self._request.route.min_shard_ratio) + 1e-9)
+        report_at = self._seal_at - REPORT_LEAD_S
+        delegation = Delegation(assignment, self._request, shards, report_at, allowed + 1, self)
+        self._delegations.append(delegation)
+        self._note("delegated", peer=assignment.vm, shards=len(shards))
+        self._delegator.start(delegation)
 
     async def _wait(self) -> None:
         """Wait until the request can be answered or given up; hedge slow shards meanwhile."""
@@ -243,17 +205,31 @@
                 self._hedge_shards()
                 hedge_at = None
                 continue
+            if self._end_silent(now):
+                continue
             with trio.move_on_at(self._find_next_time(hedge_at)) as timer:
                 await self._wake.wait()
             if timer.cancelled_caught:
-                await _read_arrived()
+                await read_arrived()
             self._wake = trio.Event()
 
-    def _find_hedge_time(self) -> float | None:
-        request = self._request
-        if not request.route.is_idempotent or request.route.max_attempts < 2:
-            return None
-        return trio.current_time() + request.latency.hedge_s
+    def _end_silent(self, now: float) -> bool:
+        """Give up on VMs that should have said something by now; return whether there are any."""
+        silent = [
+            row for row in self._delegations if not row.is_over and self._find_word_time(row) <= now
+        ]
+        for delegation in silent:
+            self._delegator.note_silence(delegation)
+            delegation.end(DelegationEnd.SILENT)
+        return bool(silent)
+
+    def _find_word_time(self, delegation: Delegation) -> float:
+        """Return when the VM must have said something next."""
+        if delegation.has_reported:
+            return self._end_at
+        if delegation.is_accepted:
+            return self._seal_at + REPORT_GRACE_S
+        return self.timing.sent_at + ACCEPT_TIMEOUT_S
 
     def _find_next_time(self, hedge_at: float | None) -> float:
         next_at = self._end_at
@@ -261,7 +237,8 @@
             next_at = min(next_at, hedge_at)
         if self._seal_at > trio.current_time():
             next_at = min(next_at, self._seal_at)
-        return next_at
+        words = [self._find_word_time(row) for row in self._delegations if not row.is_over]
+        return min([next_at, *words])
 
     def _is_decided(self) -> bool:
         now = trio.current_time()
@@ -278,27 +255,20 @@
         ratio = self._request.route.min_shard_ratio
         return answered > 0 and answered >= ratio * len(self._shards) - 1e-9
 
-    def _hedge_shards(self) -> None:
-        for shard in self._shards:
-            if shard.is_settled or shard.is_hedged or len(shard.live) != 1:
-                continue
-            shard.is_hedged = self._start(shard, SendReason.HEDGE, shard.tried)
-
-    def _release_attempts(self) -> None:
-        is_answered = self._is_enough(self._answered)
-        for shard in self._shards:
-            for attempt in shard.live:
-                if is_answered:
-                    self._sender.abandon(attempt)
-                else:
-                    self._sender.cancel(attempt)
+    def _release_delegations(self, is_answered: bool) -> None:
+        for delegation in self._delegations:
+            if not delegation.is_over:
+                delegation.is_over = True
+                self._delegator.finish(delegation, is_answered)
 
     def _seal(self) -> RunOutcome:
         self._is_sealed = True
         self.timing.sealed_at = now = trio.current_time()
         answers = tuple(shard.answer for shard in self._shards if shard.answer is not None)
         missing = len(self._shards) - len(answers)
-        may_have_run = any(shard.may_have_run or shard.live for shard in self._shards)
+        may_have_run = any(
+            shard.may_have_run or shard.live or shard.is_delegated for shard in self._shards
+        )
         failure = self._shards[0].failure if not self._request.is_fanout else None
         verdict = self._judge(missing, may_have_run)
         retry_after_s = self._find_retry_time() if verdict is RunVerdict.NO_REPLICA else 0.0
@@ -336,35 +306,3 @@
             if trial_at is not None:
                 latest = max(latest, trial_at - now)
         return latest
-
-    def _note(self, event: str, **fields: object) -> None:
-        offset_s = trio.current_time() - self._request.received_at
-        self._trace.append(TraceStep(offset_s, event, fields))
-
-    def _note_absence(
-        self, shard: ShardProgress, reason: SendReason, excluded: Collection[str], now: float
-    ) -> None:
-        obstacles = self._fleet.explain_absence(shard.service, excluded, now)
-        self._note(
-            "no_replica", service=shard.service, reason=reason.value, replicas=obstacles or "none"
-        )
-
-    def _note_end(self, attempt: Attempt, exchange: Exchange) -> None:
-        self._note(
-            "ended",
-            service=attempt.shard.service,
-            replica=attempt.replica.id,
-            reason=attempt.reason.value,
-            result=exchange.result.value,
-            duration_ms=round(exchange.duration_s * 1000, 1),
-            cause=exchange.cause,
-        )
-
-
-async def _read_arrived() -> None:
-    """Let the tasks run whose answers are in already; a slow core may be behind with them.
-
-    The first pass runs those that the event loop knows, the second those that it finds next.
-    """
-    for _ in range(READ_PASSES):
-        await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/shards.py
@@ -0,0 +1,234 @@
+"""Sends one request to a replica of each of its services, with retries and hedges."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+import trio
+
+from zinnia_sending.answers import Exchange, ExchangeResult
+from zinnia_sending.attempts import (
+    Attempt,
+    AttemptSender,
+    RunRequest,
+    SendReason,
+    ShardProgress,
+)
+from zinnia_sending.budgets import RetryBudget
+from zinnia_sending.fleet import Fleet
+from zinnia_sending.replica import Replica
+
+# Part of the allowed extra sends that hedges leave for retries after failures.
+HEDGE_RESERVE = 0.15
+# Time before the end of a request at which it is given up.
+END_MARGIN_S = 0.03
+# Passes of the event loop before a decision by time.
+READ_PASSES = 2
+
+RETRY_REASONS = {
+    ExchangeResult.NOT_SENT: SendReason.RETRY_NOT_SENT,
+    ExchangeResult.NOT_RUN: SendReason.RETRY_NOT_RUN,
+    ExchangeResult.WRONG_REPLICA: SendReason.RETRY_WRONG_REPLICA,
+    ExchangeResult.FAILED: SendReason.RETRY_FAILED,
+    ExchangeResult.BROKEN: SendReason.RETRY_BROKEN,
+}
+# Results after which nothing has arrived at the replica that was meant.
+NO_ARRIVAL = frozenset((ExchangeResult.NOT_SENT, ExchangeResult.WRONG_REPLICA))
+
+
+@dataclass(frozen=True, slots=True)
+class TraceStep:
+    """One decision of a run, ``offset_s`` seconds after the request was received."""
+
+    offset_s: float
+    event: str
+    fields: dict
+
+
+class ShardRun(ABC):
+    """Progress of one request at its services, and the sends that it takes.
+
+    Parameters
+    ----------
+    request : RunRequest
+        What to run.
+    fleet : Fleet
+        Chooses replicas.
+    budget : RetryBudget
+        Pays for hedges and retries.
+    sender : AttemptSender
+        Carries out the attempts.
+    """
+
+    def __init__(
+        self, request: RunRequest, fleet: Fleet, budget: RetryBudget, sender: AttemptSender
+    ) -> None:
+        self._request = request
+        self._fleet = fleet
+        self._budget = budget
+        self._sender = sender
+        self._shards = [ShardProgress(service) for service in request.services]
+        self._wake = trio.Event()
+        self._is_sealed = False
+        self._trace: list[TraceStep] = []
+        self._pending = len(self._shards)
+        self._answered = 0
+        self._end_at = request.end_at - END_MARGIN_S
+
+    @property
+    def request(self) -> RunRequest:
+        """What is run."""
+        return self._request
+
+    @property
+    def trace(self) -> tuple[TraceStep, ...]:
+        """The decisions so far."""
+        return tuple(self._trace)
+
+    def settle(self, attempt: Attempt, exchange: Exchange) -> None:
+        """Take the end of an attempt."""
+        shard = attempt.shard
+        shard.live.remove(attempt)
+        if self._is_sealed or shard.is_settled:
+            return
+        if exchange.result is not ExchangeResult.ANSWERED or attempt.reason is not SendReason.FIRST:
+            self._note_end(attempt, exchange)
+        if exchange.result.may_have_run:
+            shard.may_have_run = True
+        if self._accept(shard, exchange):
+            return
+        if exchange.result in NO_ARRIVAL:
+            shard.sends -= 1
+        if self._retry(shard, attempt, exchange.result):
+            return
+        if not shard.live:
+            self._settle_shard(shard)
+
+    def _accept(self, shard: ShardProgress, exchange: Exchange) -> bool:
+        answer = exchange.answer
+        if exchange.result is ExchangeResult.FAILED:
+            shard.failure = answer
+        if exchange.result is not ExchangeResult.ANSWERED or answer is None:
+            return False
+        if self._request.is_fanout and not answer.is_success:
+            return False
+        shard.answer = answer
+        self._answered += 1
+        self._settle_shard(shard)
+        return True
+
+    def _settle_shard(self, shard: ShardProgress) -> None:
+        shard.is_settled = True
+        self._pending -= 1
+        if self._is_decided():
+            self._wake.set()
+
+    @abstractmethod
+    def _is_decided(self) -> bool:
+        """Whether there is something to do now; it is asked after each shard."""
+
+    def _plan(self, shards: Iterable[ShardProgress]) -> list[tuple[ShardProgress, Replica]]:
+        """Choose a replica for the first send of each shard; one without a replica is settled."""
+        now = trio.current_time()
+        planned = []
+        for shard in shards:
+            self._budget.count_request(shard.service, now)
+            replica = self._fleet.choose(shard.service, (), now)
+            if replica is None:
+                self._note_absence(shard, SendReason.FIRST, (), now)
+                self._settle_shard(shard)
+            else:
+                planned.append((shard, replica))
+        return planned
+
+    def _retry(self, shard: ShardProgress, attempt: Attempt, result: ExchangeResult) -> bool:
+        """Send again after a failure, if that is allowed and useful."""
+        is_safe = self._request.route.is_idempotent or not result.may_have_run
+        if not is_safe or result is ExchangeResult.CANCELLED:
+            return False
+        if trio.current_time() >= self._end_at:
+            return False
+        reason = RETRY_REASONS.get(result, SendReason.RETRY_FAILED)
+        if self._start(shard, reason, shard.tried):
+            return True
+        if not result.may_have_run:
+            return False
+        return self._start(shard, reason, [other.replica.id for other in shard.live])
+
+    def _start(self, shard: ShardProgress, reason: SendReason, excluded: Collection[str]) -> bool:
+        now = trio.current_time()
+        if shard.sends >= self._request.route.max_attempts:
+            return False
+        replica = self._fleet.choose(shard.service, excluded, now)
+        if replica is None:
+            self._note_absence(shard, reason, excluded, now)
+            return False
+        reserve = HEDGE_RESERVE if reason is SendReason.HEDGE else 0.0
+        if shard.sends and not self._budget.take(shard.service, now, reserve):
+            self._note("budget_spent", service=shard.service, reason=reason.value)
+            return False
+        self._note("sent", service=shard.service, replica=replica.id, reason=reason.value)
+        self._send(shard, replica, reason, now)
+        return True
+
+    def _send(self, shard: ShardProgress, replica: Replica, reason: SendReason, now: float) -> None:
+        attempt = Attempt(shard, replica, reason, now, self._request, self.settle)
+        shard.tried.append(replica.id)
+        shard.live.append(attempt)
+        shard.sends += 1
+        self._sender.start(attempt)
+
+    def _find_hedge_time(self) -> float | None:
+        request = self._request
+        if not request.route.is_idempotent or request.route.max_attempts < 2:
+            return None
+        return trio.current_time() + request.latency.hedge_s
+
+    def _hedge_shards(self) -> None:
+        for shard in self._shards:
+            if shard.is_settled or shard.is_hedged or len(shard.live) != 1:
+                continue
+            shard.is_hedged = self._start(shard, SendReason.HEDGE, shard.tried)
+
+    def _release_attempts(self, is_answered: bool) -> None:
+        """End what is still in flight; after an answer it may end by itself."""
+        for shard in self._shards:
+            for attempt in shard.live:
+                if is_answered:
+                    self._sender.abandon(attempt)
+                else:
+                    self._sender.cancel(attempt)
+
+    def _note(self, event: str, **fields: object) -> None:
+        offset_s = trio.current_time() - self._request.received_at
+        self._trace.append(TraceStep(offset_s, event, fields))
+
+    def _note_absence(
+        self, shard: ShardProgress, reason: SendReason, excluded: Collection[str], now: float
+    ) -> None:
+        obstacles = self._fleet.explain_absence(shard.service, excluded, now)
+        self._note(
+            "no_replica", service=shard.service, reason=reason.value, replicas=obstacles or "none"
+        )
+
+    def _note_end(self, attempt: Attempt, exchange: Exchange) -> None:
+        self._note(
+            "ended",
+            service=attempt.shard.service,
+            replica=attempt.replica.id,
+            reason=attempt.reason.value,
+            result=exchange.result.value,
+            duration_ms=round(exchange.duration_s * 1000, 1),
+            cause=exchange.cause,
+        )
+
+
+async def read_arrived() -> None:
+    """Let the tasks run whose answers are in already; a slow core may be behind with them.
+
+    The first pass runs those that the event loop knows, the second those that it finds next.
+    """
+    for _ in range(READ_PASSES):
+        await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/libs/sending/src/zinnia_sending/subqueries.py
@@ -0,0 +1,127 @@
+"""Runs shards of a request for another VM and reports their answers merged."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from zinnia_sending.attempts import AttemptSender, RunRequest, SendReason, ShardProgress
+from zinnia_sending.budgets import RetryBudget
+from zinnia_sending.delegation import PartialResult, ShardFailure
+from zinnia_sending.fleet import Fleet
+from zinnia_sending.merge import merge_records
+from zinnia_sending.shards import ShardRun, read_arrived
+
+Reporter = Callable[[PartialResult, bool], None]
+
+
+class SubqueryRun(ShardRun):
+    """Runs some shards until all are settled or the other VM has had enough.
+
+    What is in is reported at ``report_at`` or once all shards are settled, whichever comes first;
+    what arrives later is reported as it comes.
+
+    Parameters
+    ----------
+    request, fleet, budget, sender
+        As for ``ShardRun``; the services are the shards to run.
+    report_at : float
+        Monotonic time of the first report in seconds.
+    max_absent : int
+        Number of shards without a replica from which on nothing is sent.
+    report : Callable[[PartialResult, bool], None]
+        Takes a report, and whether it is the last one.
+    """
+
+    def __init__(
+        self,
+        request: RunRequest,
+        fleet: Fleet,
+        budget: RetryBudget,
+        sender: AttemptSender,
+        report_at: float,
+        max_absent: int,
+        report: Reporter,
+    ) -> None:
+        super().__init__(request, fleet, budget, sender)
+        self.is_answered = False
+        self._report_at = report_at
+        self._max_absent = max_absent
+        self._report = report
+        self._unreported = list(self._shards)
+
+    @property
+    def missing(self) -> int:
+        """Shards without an answer."""
+        return len(self._shards) - self._answered
+
+    async def run(self) -> bool:
+        """Run the shards; return False if nothing was sent because too few have a replica."""
+        try:
+            if not self._start_all():
+                return False
+            await self._wait()
+            self._report_settled(True)
+            return True
+        finally:
+            self._is_sealed = True
+            self._release_attempts(self.is_answered)
+
+    def _start_all(self) -> bool:
+        now = trio.current_time()
+        planned = self._plan(self._shards)
+        if len(self._shards) - len(planned) >= self._max_absent:
+            return False
+        for shard, replica in planned:
+            self._send(shard, replica, SendReason.FIRST, now)
+        return True
+
+    async def _wait(self) -> None:
+        hedge_at = self._find_hedge_time()
+        while self._pending and trio.current_time() < self._end_at:
+            now = trio.current_time()
+            if hedge_at is not None and now >= hedge_at:
+                self._hedge_shards()
+                hedge_at = None
+                continue
+            if now >= self._report_at:
+                self._report_settled(False)
+            with trio.move_on_at(self._find_next_time(hedge_at)) as timer:
+                await self._wake.wait()
+            if timer.cancelled_caught:
+                await read_arrived()
+            self._wake = trio.Event()
+
+    def _find_next_time(self, hedge_at: float | None) -> float:
+        next_at = self._end_at
+        if hedge_at is not None:
+            next_at = min(next_at, hedge_at)
+        if self._report_at > trio.current_time():
+            next_at = min(next_at, self._report_at)
+        return next_at
+
+    def _is_decided(self) -> bool:
+        return self._pending == 0 or trio.current_time() >= self._report_at
+
+    def _report_settled(self, is_last: bool) -> None:
+        """Report the shards that were settled since the last report."""
+        settled = [shard for shard in self._unreported if shard.is_settled]
+        if not settled and not is_last:
+            return
+        if is_last:
+            settled, self._unreported = self._unreported, []
+        else:
+            self._unreported = [shard for shard in self._unreported if not shard.is_settled]
+        self._report(self._merge(settled), is_last)
+
+    def _merge(self, shards: list[ShardProgress]) -> PartialResult:
+        answered = [shard for shard in shards if shard.answer is not None]
+        records = merge_records(
+            (shard.answer.body for shard in answered), self._request.route.top_k
+        )
+        signatures = tuple((shard.service, shard.answer.signature) for shard in answered)
+        failures = tuple(
+            ShardFailure(shard.service, shard.sends) for shard in shards if shard.answer is None
+        )
+        return PartialResult(signatures, records, failures)
--- a/libs/sending/tests/fakes.py
+++ b/libs/sending/tests/fakes.py
@@ -15,6 +15,7 @@
 from zinnia_sending.answers import Exchange, ExchangeResult, ReplicaAnswer
 from zinnia_sending.attempts import AttemptSender, RunRequest
 from zinnia_sending.budgets import RetryBounds, RetryBudget
+from zinnia_sending.delegation import Delegator
 from zinnia_sending.events import NullSink
 from zinnia_sending.fleet import Fleet
 from zinnia_sending.health import FAILURES_TO_SUSPEND
@@ -101,10 +102,33 @@
         self.abandoned.append(attempt.replica.id)
 
 
+class FakeDelegator(Delegator):
+    """Assigns shards to VMs as a test says and records what it is told."""
+
+    def __init__(self, assignments):
+        self._assignments = assignments
+        self.started = []
+        self.finished = []
+        self.silent = []
+
+    def assign(self, services):
+        return self._assignments
+
+    def start(self, delegation):
+        self.started.append(delegation)
+
+    def finish(self, delegation, is_answered):
+        self.finished.append((delegation.assignment.vm, is_answered))
+
+    def note_silence(self, delegation):
+        self.silent.append(delegation.assignment.vm)
+
+
 class RunBench:
     """Runs one request against scripted replicas on the test clock."""
 
-    def __init__(self, fleet, script, slack=50.0, ratio=0.2, hedge_s=0.03):
+    def __init__(self, fleet, script, slack=50.0, ratio=0.2, hedge_s=0.03, delegator=None):
+        self.delegator = delegator
         self.fleet = fleet
         self.script = script
         self.budget = RetryBudget(RetryBounds(ratio, slack, 10.0), lambda: 1)
@@ -128,7 +152,8 @@
                 now + limit_s,
                 self.latency,
             )
-            outcome = await RequestRun(request, self.fleet, self.budget, self.sender).run()
+            run = RequestRun(request, self.fleet, self.budget, self.sender, self.delegator)
+            outcome = await run.run()
             self.took_s = trio.current_time() - now
             nursery.cancel_scope.cancel()
         return outcome
--- a/libs/sending/tests/test_replica.py
+++ b/libs/sending/tests/test_replica.py
@@ -17,6 +17,9 @@
     def render(self, replica, remaining_s):
         return b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
+    def pack(self):
+        return b""
+
 
 class PlainProtocol(ReplicaProtocol):
     def read_facts(self, status, headers):
@@ -29,6 +32,9 @@
             False,
         )
 
+    def unpack(self, data):
+        return PlainRequest()
+
 
 def make_answer(request_id=b"own", body=b"hello", extra=b"", keep=b"5"):
     lines = [
--- a/libs/sending/tests/test_runs.py
+++ b/libs/sending/tests/test_runs.py
@@ -6,7 +6,8 @@
 
 from zinnia_sending.answers import ExchangeResult
 from zinnia_sending.attempts import SendReason
-from zinnia_sending.runs import END_MARGIN_S, RunVerdict
+from zinnia_sending.runs import RunVerdict
+from zinnia_sending.shards import END_MARGIN_S
 
 FAST = (0.01, answer())
 NEVER = None
--- /dev/null
+++ b/libs/sending/tests/test_subqueries.py
@@ -0,0 +1,100 @@
+import unittest
+
+import trio
+from fakes import FakeSender, answer, make_entry, make_fleet, make_route, run_trio
+
+from zinnia_sending.attempts import RunRequest
+from zinnia_sending.budgets import RetryBounds, RetryBudget
+from zinnia_sending.latency import LatencyHistogram
+from zinnia_sending.subqueries import SubqueryRun
+
+SHARDS = [f"s{number}" for number in range(6)]
+REPORT_S = 0.1
+NEVER = []
+
+
+def make_answer(record):
+    return (0.01, answer(body=record * 16, signature=record))
+
+
+class SubqueryRunTest(unittest.TestCase):
+    def play(self, change=None, lost=(), max_absent=3, end_after_s=None, is_answered=False):
+        """Run six shards; ``change`` replaces scripts, ``lost`` are shards without a replica."""
+
+        async def main():
+            entries = [make_entry(f"{name}-a", name) for name in SHARDS if name not in lost]
+            fleet = make_fleet(*entries, services=SHARDS)
+            script = {f"{name}-a": [make_answer(name[1].encode())] for name in SHARDS}
+            script.update(change or {})
+            budget = RetryBudget(RetryBounds(0.2, 50.0, 10.0), lambda: 1)
+            reports = []
+            latency = LatencyHistogram(0.01)
+            now = trio.current_time()
+
+            def report(result, is_last):
+                reports.append((round(trio.current_time() - now, 3), result, is_last))
+
+            async with trio.open_nursery() as nursery:
+                sender = FakeSender(nursery, {key: row for key, row in script.items() if row})
+                request = RunRequest(
+                    "id",
+                    make_route(SHARDS),
+                    tuple(SHARDS),
+                    True,
+                    None,
+                    now,
+                    now + REPORT_S,
+                    now + 1.0,
+                    latency,
+                )
+                run = SubqueryRun(
+                    request, fleet, budget, sender, now + REPORT_S, max_absent, report
+                )
+                run.is_answered = is_answered
+                has_run = None
+                with trio.move_on_after(end_after_s or 5.0):
+                    has_run = await run.run()
+                nursery.cancel_scope.cancel()
+            return has_run, reports, sender
+
+        return run_trio(main)
+
+    def test_one_report_holds_all_parts_merged(self):
+        """Guards against a report for each shard, and records that are not the greatest."""
+        has_run, reports, _ = self.play()
+        self.assertTrue(has_run)
+        ((at_s, result, is_last),) = reports
+        self.assertEqual((0.01, True), (at_s, is_last))
+        self.assertEqual(
+            [name.encode()[1:] for name in SHARDS], [row for _, row in result.signatures]
+        )
+        self.assertEqual([b"5", b"4", b"3"], [result.records[at : at + 1] for at in (0, 16, 32)])
+
+    def test_straggler_is_reported_apart(self):
+        """Load pattern: a replica is ten times slower than usual.
+
+        Guards against parts that wait for it until the answer is late.
+        """
+        _, reports, _ = self.play({"s3-a": [(0.4, answer(signature=b"3"))]})
+        first, second = reports
+        self.assertEqual((REPORT_S, 5, False), (first[0], len(first[1].signatures), first[2]))
+        self.assertEqual((0.4, (("s3", b"3"),), True), (second[0], second[1].signatures, second[2]))
+
+    def test_shard_without_a_replica_is_reported_as_not_sent(self):
+        """Guards against a shard that its own VM could have sent."""
+        _, reports, _ = self.play(lost=("s1",))
+        self.assertEqual([("s1", 0)], [(row.service, row.sends) for row in reports[0][1].failures])
+
+    def test_nothing_is_sent_when_too_few_have_a_replica(self):
+        """Guards against work for an answer that cannot be given."""
+        has_run, reports, sender = self.play(lost=SHARDS[:3])
+        self.assertFalse(has_run)
+        self.assertEqual(([], []), (reports, sender.sent))
+
+    def test_end_without_an_answer_cancels_the_sends(self):
+        """Guards against replicas that work on for a caller who is gone."""
+        slow = {f"{name}-a": [(0.9, answer())] for name in SHARDS}
+        _, reports, sender = self.play(slow, end_after_s=0.05)
+        self.assertEqual(([], 6, 0), (reports, len(sender.cancelled), len(sender.abandoned)))
+        _, _, sender = self.play(slow, end_after_s=0.05, is_answered=True)
+        self.assertEqual((0, 6), (len(sender.cancelled), len(sender.abandoned)))
--- a/programs/measure/src/zinnia_measure/entry_cost.py
+++ b/programs/measure/src/zinnia_measure/entry_cost.py
@@ -58,6 +58,10 @@
             replica.encode(),
         )
 
+    def pack(self) -> bytes:
+        """Return nothing; requests stay on this VM."""
+        return b""
+
 
 class PlainProtocol(ReplicaProtocol):
     """Reads the headers that the constant server sends."""
@@ -68,6 +72,10 @@
         signature = found.get(b"x-signature", b"")
         return AnswerFacts(found.get(b"x-request-id", b""), signature, False, False, False)
 
+    def unpack(self, data: bytes) -> PreparedRequest:
+        """Return a request; none is ever packed."""
+        return PlainRequest()
+
 
 class NullCounters(SendCounters):
     """Counts nothing."""
--- a/programs/tool/src/zinnia_tool/logs.py
+++ b/programs/tool/src/zinnia_tool/logs.py
@@ -27,6 +27,8 @@
 # Many replicas appear at once when a VM starts; none of these lines is a cause.
 UNRELATED_EVENTS = frozenset(("replica_added",))
 HIDDEN_FIELDS = frozenset(("time", "event", "vm", "request"))
+# Fields that name what a line is about.
+SUBJECT_FIELDS = ("replica", "service", "peer")
 HEAD = ("TIME", "VM", "EVENT", "DETAIL")
 
 
@@ -51,8 +53,8 @@
         return " ".join(f"{name}={value}" for name, value in rows if value not in (None, ""))
 
     def names_any(self, names: set[str]) -> bool:
-        """Whether the line is about one of some replicas or services."""
-        return bool(names & {self.fields.get("replica"), self.fields.get("service")})
+        """Whether the line is about one of some replicas, services or VMs."""
+        return bool(names & {self.fields.get(key) for key in SUBJECT_FIELDS})
 
 
 def read_lines(paths: Sequence[str]) -> list[LogLine]:
@@ -107,7 +109,7 @@
 
 def find_related(lines: Sequence[LogLine], own: Sequence[LogLine]) -> Iterable[LogLine]:
     """Yield what the same VM came to believe shortly before, as far as it concerns the request."""
-    names = {line.fields.get(key) for line in own for key in ("replica", "service")} - {None}
+    names = {line.fields.get(key) for line in own for key in SUBJECT_FIELDS} - {None}
     vms = {line.vm for line in own}
     end = own[-1].time
     for line in lines:
