Wait for a word of another VM from when it was asked; count the sends that a lost one can have made

Both VMs of a request were always silent together: the asking VM, with half a core, was busy for 25 ms before its message left. With two attempts a route, a lost VM counted as two sends, so its shards were given up and 11 requests ended with 502. Ruled out: busy fast VMs (they accepted everything else within a millisecond). Change: the 25 ms begin when the message is written. A VM tells when it will hedge, and counts as one send before that. A VM that wakes from a pause and finds the end of a request behind its start sends nothing.

--- a/libs/delegation/src/zinnia_delegation/links.py
+++ b/libs/delegation/src/zinnia_delegation/links.py
@@ -88,7 +88,7 @@
             return
         self._last_id += 1
         self._live[self._last_id] = delegation
-        self._outbox.put(encode(Call(start=self._make_start(delegation))))
+        self._outbox.put(encode(Call(start=self._make_start(delegation))), delegation.note_written)
 
     def finish(self, delegation: Delegation, is_answered: bool) -> None:
         """Tell the VM that a request has ended."""
@@ -197,7 +197,7 @@
         if delegation is None:
             return  # A sign of life, or the request has ended meanwhile.
         if reply.kind == ReplyKind.ACCEPTED.value:
-            delegation.is_accepted = True
+            delegation.accept(reply.hedge_in_us / 1e6)
         elif reply.kind == ReplyKind.REFUSED.value:
             del self._live[reply.id]
             self._held_until = trio.current_time() + reply.hold_ms / 1000
--- a/libs/delegation/src/zinnia_delegation/messages.py
+++ b/libs/delegation/src/zinnia_delegation/messages.py
@@ -99,7 +99,7 @@
     """One frame back. ``kind`` is a ``ReplyKind``.
 
     Shards are named by their place in the list of the start. ``hold_ms`` of a refusal is how long
-    the sender is to be left alone.
+    the sender is to be left alone, ``hedge_in_us`` of an acceptance when it hedges slow shards.
     """
 
     thrift_spec = (
@@ -113,6 +113,7 @@
         (7, TType.LIST, "failed_sends", (TType.I32, None, False), None),
         (8, TType.BOOL, "is_last", None, None),
         (9, TType.I32, "hold_ms", None, None),
+        (10, TType.I64, "hedge_in_us", None, None),
     )
 
     def __init__(
@@ -126,6 +127,7 @@
         failed_sends: list[int] | None = None,
         is_last: bool = False,
         hold_ms: int = 0,
+        hedge_in_us: int = 0,
     ) -> None:
         self.id = id
         self.kind = kind
@@ -136,3 +138,4 @@
         self.failed_sends = failed_sends or []
         self.is_last = is_last
         self.hold_ms = hold_ms
+        self.hedge_in_us = hedge_in_us
--- a/libs/delegation/src/zinnia_delegation/outbox.py
+++ b/libs/delegation/src/zinnia_delegation/outbox.py
@@ -1,5 +1,7 @@
 """Frames that wait to be written, so that putting one never waits."""
 
+from collections.abc import Callable
+
 import trio
 
 from zinnia_relay.frames import FrameStream
@@ -13,11 +15,14 @@
     def __init__(self, frames: FrameStream) -> None:
         self._frames = frames
         self._waiting: list[bytes] = []
+        self._told: list[Callable[[], None]] = []
         self._news = trio.Event()
 
-    def put(self, payload: bytes) -> None:
-        """Queue a frame."""
+    def put(self, payload: bytes, written: Callable[[], None] | None = None) -> None:
+        """Queue a frame; ``written`` is told when the frame has left this VM."""
         self._waiting.append(payload)
+        if written is not None:
+            self._told.append(written)
         self._news.set()
 
     async def run(self, connection: trio.CancelScope) -> None:
@@ -27,7 +32,10 @@
                 await self._news.wait()
                 self._news = trio.Event()
                 payloads, self._waiting = self._waiting, []
+                told, self._told = self._told, []
                 with trio.fail_after(SEND_TIMEOUT_S):
                     await self._frames.send(*payloads)
+                for written in told:
+                    written()
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
             connection.cancel()
--- a/libs/delegation/src/zinnia_delegation/server.py
+++ b/libs/delegation/src/zinnia_delegation/server.py
@@ -99,7 +99,8 @@
             outbox.put(encode(Reply(start.id, ReplyKind.REFUSED.value, hold_ms=hold_ms)))
             return
         run = self._handler.make_run(start, partial(_send_result, start, outbox))
-        outbox.put(encode(Reply(start.id, ReplyKind.ACCEPTED.value)))
+        hedge_in_us = int(run.hedge_in_s * 1e6)
+        outbox.put(encode(Reply(start.id, ReplyKind.ACCEPTED.value, hedge_in_us=hedge_in_us)))
         scope = trio.CancelScope()
         live[start.id] = run, scope
         nursery.start_soon(self._run, start, outbox, live)
@@ -121,6 +122,8 @@
         self._shards += len(start.services)
         try:
             with scope:
+                # After a pause of this VM the end may have arrived together with the start.
+                await trio.lowlevel.checkpoint()
                 if not await run.run():
                     outbox.put(encode(Reply(start.id, ReplyKind.REFUSED.value)))
                 is_cancelled = False
--- a/libs/sending/src/zinnia_sending/delegation.py
+++ b/libs/sending/src/zinnia_sending/delegation.py
@@ -6,8 +6,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import TYPE_CHECKING
 
+import trio
+
 from zinnia_catalog.ids import ServiceName, VmName
 
 if TYPE_CHECKING:
@@ -73,8 +76,9 @@
 class Delegation:
     """One assignment on its way; times are monotonic seconds.
 
-    ``report_at`` is when the other VM is asked to report what is in. ``max_absent`` is the number
-    of shards without a replica from which on it is to refuse.
+    ``written_at`` is when its message left this VM, which a busy VM does late. ``report_at`` is
+    when the other VM is asked to report what is in, and ``hedge_at`` when it hedges. ``max_absent``
+    is the number of shards without a replica from which on it is to refuse.
     """
 
     assignment: Assignment
@@ -83,10 +87,27 @@
     report_at: float
     max_absent: int
     listener: DelegationListener
+    written_at: float
+    hedge_at: float = inf
     is_accepted: bool = False
     has_reported: bool = False
     is_over: bool = False
 
+    def note_written(self) -> None:
+        """Note that the message has left this VM."""
+        self.written_at = trio.current_time()
+
+    def accept(self, hedge_in_s: float) -> None:
+        """Note that the other VM has begun and when it will hedge."""
+        self.is_accepted = True
+        self.hedge_at = trio.current_time() + hedge_in_s
+
+    def count_sends(self, end: DelegationEnd, now: float) -> int:
+        """Return how many replicas of a shard may have got the request from the other VM."""
+        if not end.may_have_sent:
+            return 0
+        return 2 if now >= self.hedge_at else 1
+
     def take(self, result: PartialResult) -> None:
         """Pass answers on, unless the delegation is over."""
         if self.is_over:
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -34,8 +34,6 @@
 REPORT_LEAD_S = 0.004
 # A VM that has not reported this long after the seal is taken for lost.
 REPORT_GRACE_S = 0.012
-# Sends that a lost VM may have made for each shard: the first one and a hedge.
-LOST_SENDS = 2
 
 
 class RunVerdict(Enum):
@@ -146,8 +144,9 @@
             cause=end.value,
             open_shards=len(open_shards),
         )
+        sends = delegation.count_sends(end, trio.current_time())
         for shard in open_shards:
-            shard.sends = LOST_SENDS if end.may_have_sent else 0
+            shard.sends = sends
             self._run_here(shard)
 
     def _run_here(self, shard: ShardProgress) -> None:
@@ -191,7 +190,15 @@
         shards = {row.service: row for row in self._shards if row.service in services}
         allowed = int(len(self._shards) * (1.0 - self._request.route.min_shard_ratio) + 1e-9)
         report_at = self._seal_at - REPORT_LEAD_S
-        delegation = Delegation(assignment, self._request, shards, report_at, allowed + 1, self)
+        delegation = Delegation(
+            assignment,
+            self._request,
+            shards,
+            report_at,
+            allowed + 1,
+            self,
+            written_at=trio.current_time(),
+        )
         self._delegations.append(delegation)
         self._note("delegated", peer=assignment.vm, shards=len(shards))
         self._delegator.start(delegation)
@@ -229,7 +236,7 @@
             return self._end_at
         if delegation.is_accepted:
             return self._seal_at + REPORT_GRACE_S
-        return self.timing.sent_at + ACCEPT_TIMEOUT_S
+        return delegation.written_at + ACCEPT_TIMEOUT_S
 
     def _find_next_time(self, hedge_at: float | None) -> float:
         next_at = self._end_at
--- a/libs/sending/src/zinnia_sending/subqueries.py
+++ b/libs/sending/src/zinnia_sending/subqueries.py
@@ -51,6 +51,11 @@
         self._report = report
         self._unreported = list(self._shards)
 
+    @property
+    def hedge_in_s(self) -> float:
+        """Time in seconds from the first sends to the hedges."""
+        return self._request.latency.hedge_s
+
     @property
     def missing(self) -> int:
         """Shards without an answer."""
--- a/programs/measure/src/zinnia_measure/main.py
+++ b/programs/measure/src/zinnia_measure/main.py
@@ -4,6 +4,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from zinnia_measure.delegation_cost import run_delegation_cost
 from zinnia_measure.demo import DemoFailedError, run_demo
 from zinnia_measure.entry_cost import run_entry_cost
 from zinnia_measure.fanout import run_fan_out
@@ -101,6 +102,23 @@
         return 0
 
 
+class DelegationCostCommand(Command):
+    """Measures the messages of a part of a fan-out that another VM runs."""
+
+    name = "delegation-cost"
+    description = "Measure what a part of a fan-out on another VM costs beside its sends."
+
+    def handle(self) -> int:
+        """Print a line for each size of a part."""
+        for cost in run_delegation_cost():
+            self.line(
+                f"part of {cost.shards}: {cost.caller_us:.0f} us for the caller's VM, "
+                f"{cost.runner_us:.0f} us for the other, {cost.sent_bytes} bytes there, "
+                f"{cost.received_bytes} bytes back"
+            )
+        return 0
+
+
 def main() -> int:
     """Run the command that the command line names."""
     application = Application("zinnia-measure")
@@ -109,6 +127,7 @@
     application.add(FanOutCommand())
     application.add(SlopesCommand())
     application.add(EntryCostCommand())
+    application.add(DelegationCostCommand())
     return application.run()
 
 
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -37,7 +37,8 @@
     "zinniarouterd": PRODUCT,
     "zinnia_tool": {"zinnia_model", "zinnia_releases"},
     "zinnia_measure": PRODUCT
-    | {"zinnia_catalog", "zinnia_sending", "zinnia_standins", "zinnia_tool", "zinniarouterd"},
+    | {"zinnia_catalog", "zinnia_sending", "zinnia_relay", "zinnia_delegation"}
+    | {"zinnia_standins", "zinnia_tool", "zinniarouterd"},
 }
 
 
