--- a/libs/catalog/tests/test_members.py
+++ b/libs/catalog/tests/test_members.py
@@ -62,7 +62,10 @@
 
     def test_registration_is_read_as_written(self):
         """Guards against a VM that its peers cannot reach."""
-        member = Member("vm", "10.0.0.1:80", "a")
+        member = Member("vm", "10.0.0.1:80", "a", 2.15)
         self.assertEqual(member, read_member("vm", member.write()))
+        older = {"peer_address": "10.0.0.1:80", "data_centre": "a"}
+        self.assertEqual(1.0, read_member("vm", older).capacity)
+        self.assertIsNone(read_member("vm", {**older, "capacity": "fast"}))
         for document in (None, [], {}, {"peer_address": "nowhere"}, {"peer_address": 7}):
             self.assertIsNone(read_member("vm", document))
--- a/libs/relay/tests/test_relay.py
+++ b/libs/relay/tests/test_relay.py
@@ -47,6 +47,23 @@
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_first_frame_chooses_the_protocol(self):
+        """Guards against requests of one protocol that are read as those of another."""
+        greeted = []
+
+        async def greet(frames):
+            greeted.append(await frames.receive())
+
+        async def main():
+            near, far = trio.testing.memory_stream_pair()
+            server = RelayServer("leader", Side().beliefs, {b"hello": greet})
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.serve_stream, far)
+                await FrameStream(near).send(b"hello", b"first call")
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual([b"first call"], greeted)
+
     def test_follower_learns_what_its_peer_knows(self):
         """Load pattern: the store turns one VM away, and its peers know a new configuration."""
 
