A fault of one subquery or a reply of another version ends no process

An exception in a run for another VM, or a reply that names a shard outside of its request, left the nursery of the connection and with it the process. Change: the first is logged as internal_error and its part counts as silent for the other VM; the second closes the connection. Both tests fail without the change.

--- a/libs/delegation/src/zinnia_delegation/links.py
+++ b/libs/delegation/src/zinnia_delegation/links.py
@@ -158,7 +158,7 @@
                     self._take(reply)
             except (FrameError, trio.BrokenResourceError, trio.ClosedResourceError):
                 pass  # The connection has ended; what depends on it is told below.
-            except DECODE_ERRORS as error:
+            except (IndexError, *DECODE_ERRORS) as error:
                 self._events.note("delegate_unreadable", peer=self.peer.vm, cause=repr(error))
             nursery.cancel_scope.cancel()
 
--- a/libs/delegation/src/zinnia_delegation/server.py
+++ b/libs/delegation/src/zinnia_delegation/server.py
@@ -11,6 +11,7 @@
 from zinnia_relay.frames import FrameError, FrameStream
 from zinnia_relay.messages import DECODE_ERRORS, decode, encode
 from zinnia_sending.delegation import PartialResult
+from zinnia_sending.events import EventSink
 from zinnia_sending.subqueries import SubqueryRun
 
 # Shards that may be in progress for other VMs, for each core.
@@ -49,10 +50,13 @@
         Makes the runs.
     capacity : float
         Cores of this VM.
+    events : EventSink
+        Told of faults of the program.
     """
 
-    def __init__(self, handler: SubqueryHandler, capacity: float) -> None:
+    def __init__(self, handler: SubqueryHandler, capacity: float, events: EventSink) -> None:
         self.is_stopping = False
+        self._events = events
         self._handler = handler
         self._max_shards = int(MAX_SHARDS_PER_CORE * capacity)
         self._shards = 0
@@ -127,6 +131,8 @@
                 if not await run.run():
                     outbox.put(encode(Reply(start.id, ReplyKind.REFUSED.value)))
                 is_cancelled = False
+        except Exception as error:  # One subquery must not end the process and all others with it.
+            self._events.note("internal_error", where="subquery", cause=repr(error))
         finally:
             self._shards -= len(start.services)
             del live[start.id]
--- a/libs/delegation/tests/test_links.py
+++ b/libs/delegation/tests/test_links.py
@@ -7,9 +7,10 @@
 from zinnia_catalog.routes import Repeatability, Route
 from zinnia_delegation import links
 from zinnia_delegation.links import ALIVE_TIMEOUT_S, PING_INTERVAL_S, LinkState, PeerLink
-from zinnia_delegation.messages import GREETING
+from zinnia_delegation.messages import GREETING, Reply, ReplyKind
 from zinnia_delegation.server import SubqueryHandler, SubqueryServer
 from zinnia_relay.frames import FrameStream
+from zinnia_relay.messages import encode
 from zinnia_sending.attempts import RunRequest
 from zinnia_sending.delegation import (
     Assignment,
@@ -107,7 +108,7 @@
 
         async def main():
             handler = ScriptedHandler(results)
-            server = SubqueryServer(handler, capacity)
+            server = SubqueryServer(handler, capacity, NullSink())
             streams = []
 
             async def accept(host, port):
@@ -157,6 +158,33 @@
 
         self.play(test, [(0.01, result, True)])
 
+    def test_fault_of_one_run_leaves_the_others(self):
+        """Guards against a process that ends because of one request."""
+
+        async def test(link, handler, server, streams):
+            recorders = [Recorder(), Recorder()]
+            link.start(make_delegation(recorders[0]))
+            await trio.sleep(0.01)
+            handler.results = [(0.01, PartialResult((), b""), True)]
+            link.start(make_delegation(recorders[1]))
+            await trio.sleep(0.05)
+            self.assertEqual([0, 1], [len(row.results) for row in recorders])
+
+        self.play(test, results=["no result"])
+
+    def test_reply_that_names_no_shard_closes_the_connection(self):
+        """Guards against a process that ends because a peer has another version."""
+
+        async def test(link, handler, server, streams):
+            recorder = Recorder()
+            link.start(make_delegation(recorder))
+            far = FrameStream(streams[0][1])
+            await far.send(encode(Reply(1, ReplyKind.RESULT.value, [99], [b"sig"])))
+            await trio.sleep(0.01)
+            self.assertEqual(([], [DelegationEnd.LOST]), (recorder.results, recorder.ends))
+
+        self.play(test)
+
     def test_acceptance_is_told_before_the_first_result(self):
         """Guards against a VM that is given up while it works."""
 
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -241,7 +241,7 @@
             self.metrics,
             self._request_log,
         )
-        return SubqueryServer(handler, self._settings.capacity)
+        return SubqueryServer(handler, self._settings.capacity, self.events)
 
     async def _serve_peers(self, host: str, port: int) -> None:
         protocols = {GREETING: self._subqueries.serve}
