--- a/programs/daemon/src/zinniarouterd/node.py
+++ b/programs/daemon/src/zinniarouterd/node.py
@@ -11,14 +11,12 @@
 from zinnia_claims.claims import Claims
 from zinnia_facts.table import Fact, FactTable
 from zinnia_membership.keeper import MemberKeeper
-from zinnia_membership.member_list import MAX_SEATS
 from zinnia_membership.membership import Membership
-from zinnia_model.configuration import ConfigDocument, DataCentreState
+from zinnia_model.configuration import ConfigDocument
 from zinnia_model.ids import ReplicaId, ServiceId, VmId
 from zinnia_model.members import Member, MemberList
 from zinnia_model.messages import MemberPush
 from zinnia_model.ownership import Standing
-from zinnia_model.reasons import Reason
 from zinnia_model.shardmaps import ShardMap
 from zinnia_peers.links import PeerLinks
 from zinnia_peers.server import PeerServer
@@ -43,6 +41,7 @@
 from zinniarouterd.maps import ShardMaps, list_all_records
 from zinniarouterd.metrics import Metrics
 from zinniarouterd.observers import Observers
+from zinniarouterd.readiness import Readiness
 from zinniarouterd.seams import Seams
 from zinniarouterd.senders import CountingSender, SenderDirectory
 from zinniarouterd.settings import Settings
@@ -112,6 +111,9 @@
             self.settings.platform.poll_s,
             self.random,
         )
+        self.readiness = Readiness(
+            self.vm, self.settings.data_centre, self.membership, lambda: self.watch.is_up
+        )
         self.topology = LiveTopology(
             lambda: self.membership.configuration.document,
             self.maps,
@@ -183,7 +185,7 @@
             lambda: self.seams.wall_ms() / 1000,
             self.random.getrandbits(32),
         )
-        self.gate = Gate(self.find_obstacle, self.find_refusal)
+        self.gate = Gate(self.readiness.find_obstacle, self.readiness.find_refusal)
         self.callers = CallerInterface(
             f"{self.vm}-{self.incarnation}",
             self.gate,
@@ -204,8 +206,8 @@
             VetoRaiser(f"{self.vm}/{self.incarnation}", self.facts),
             self.writer,
             self.exchange.push,
-            self.find_rank,
-            lambda: self.find_refusal() is None,
+            self.readiness.find_rank,
+            lambda: self.readiness.find_refusal() is None,
             self.seams.wall_ms,
             self.metrics,
         )
@@ -234,57 +236,6 @@
         """Return whether this VM may send to a replica at this moment."""
         return self.membership.standing(replica, trio.current_time())
 
-    def find_refusal(self) -> Reason | None:
-        """Return why requests must be refused now, or None.
-
-        A VM that has given up ownership still forwards requests while it hears a majority.
-        """
-        now = trio.current_time()
-        membership = self.membership
-        if membership.configuration.document is None:
-            return Reason.NO_CONFIGURATION
-        if membership.is_ready(now) or membership.is_degraded(now):
-            return None
-        forwards = membership.is_leaving and membership.promises.has_contact(now)
-        if forwards and membership.configuration.is_current(now):
-            return None
-        return Reason.NO_MAJORITY
-
-    def find_obstacle(self) -> Reason | None:
-        """Return why the balancer should not send requests here, or None.
-
-        A VM that could have a seat is not ready without it: a rolling replacement that waits for
-        readiness would otherwise shrink the member list faster than new VMs join it.
-        """
-        if self.is_data_centre_out():
-            return Reason.DATA_CENTRE_OUT
-        if self._may_join():
-            return Reason.NO_MAJORITY
-        return self.find_refusal()
-
-    def _may_join(self) -> bool:
-        membership = self.membership
-        if membership.is_member or membership.is_leaving or not self.watch.is_up:
-            return False
-        return len(membership.members().members) < MAX_SEATS
-
-    def is_data_centre_out(self) -> bool:
-        """Return whether operators have taken the data centre of this VM out."""
-        document = self.membership.configuration.document
-        config = document.data_centres.get(self.settings.data_centre) if document else None
-        return config is not None and config.state is DataCentreState.OUT
-
-    def find_rank(self, now: float) -> int | None:
-        """Return the position of this VM among the live members, None without a majority."""
-        if not self.membership.is_member or not self.membership.has_majority(now):
-            return None
-        live = [
-            vm
-            for vm in self.membership.view.vms
-            if not self.membership.promises.holds_dead(vm, now)
-        ]
-        return sorted(live).index(self.vm)
-
     def list_moves(self) -> list[dict]:
         """Return the report of all moves."""
         document = self.membership.configuration.document
@@ -373,7 +324,7 @@
 
     async def _wait_data_centre(self, out: bool) -> None:
         # A change of configuration has many sources, so the state is looked at regularly.
-        while self.is_data_centre_out() is not out:  # noqa: ASYNC110
+        while self.readiness.is_data_centre_out() is not out:  # noqa: ASYNC110
             await trio.sleep(DATA_CENTRE_POLL_S)
 
     def make_keeper(self) -> MemberKeeper:
--- a/programs/daemon/tests/test_replacement.py
+++ b/programs/daemon/tests/test_replacement.py
@@ -136,7 +136,7 @@
             self.assertEqual({"vm-4", "vm-5", "vm-6"}, members)
             revisions = {n.membership.configuration.revision for n in tier.nodes.values()}
             self.assertEqual({REVISION}, revisions)
-            self.assertEqual({None}, {n.find_refusal() for n in tier.nodes.values()})
+            self.assertEqual({None}, {n.readiness.find_refusal() for n in tier.nodes.values()})
 
         self.run_tier(check)
 
