--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -19,7 +19,7 @@
     PartialResult,
 )
 from zinnia_sending.fleet import Fleet
-from zinnia_sending.shards import ShardRun, TraceStep, read_arrived
+from zinnia_sending.shards import ShardRun, TraceStep
 
 # Time before the target latency at which an incomplete answer is sealed, as a part of the target,
 # beside the delay that this VM has seen between that time and its reply.
@@ -214,11 +214,7 @@
                 continue
             if self._end_silent(now):
                 continue
-            with trio.move_on_at(self._find_next_time(hedge_at)) as timer:
-                await self._wake.wait()
-            if timer.cancelled_caught:
-                await read_arrived()
-            self._wake = trio.Event()
+            await self._wait_for_news(self._find_next_time(hedge_at))
 
     def _end_silent(self, now: float) -> bool:
         """Give up on VMs that should have said something by now; return whether there are any."""
--- a/libs/sending/src/zinnia_sending/shards.py
+++ b/libs/sending/src/zinnia_sending/shards.py
@@ -180,6 +180,14 @@
         shard.sends += 1
         self._sender.start(attempt)
 
+    async def _wait_for_news(self, until: float) -> None:
+        """Wait until a shard asks for a decision or a time has come."""
+        with trio.move_on_at(until) as timer:
+            await self._wake.wait()
+        if timer.cancelled_caught:
+            await _read_arrived()
+        self._wake = trio.Event()
+
     def _find_hedge_time(self) -> float | None:
         request = self._request
         if not request.route.is_idempotent or request.route.max_attempts < 2:
@@ -225,7 +233,7 @@
         )
 
 
-async def read_arrived() -> None:
+async def _read_arrived() -> None:
     """Let the tasks run whose answers are in already; a slow core may be behind with them.
 
     The first pass runs those that the event loop knows, the second those that it finds next.
--- a/libs/sending/src/zinnia_sending/subqueries.py
+++ b/libs/sending/src/zinnia_sending/subqueries.py
@@ -11,7 +11,7 @@
 from zinnia_sending.delegation import PartialResult, ShardFailure
 from zinnia_sending.fleet import Fleet
 from zinnia_sending.merge import merge_records
-from zinnia_sending.shards import ShardRun, read_arrived
+from zinnia_sending.shards import ShardRun
 
 Reporter = Callable[[PartialResult, bool], None]
 
@@ -92,11 +92,7 @@
                 continue
             if now >= self._report_at:
                 self._report_settled(False)
-            with trio.move_on_at(self._find_next_time(hedge_at)) as timer:
-                await self._wake.wait()
-            if timer.cancelled_caught:
-                await read_arrived()
-            self._wake = trio.Event()
+            await self._wait_for_news(self._find_next_time(hedge_at))
 
     def _find_next_time(self, hedge_at: float | None) -> float:
         next_at = self._end_at
