--- a/libs/delegation/src/zinnia_delegation/ranking.py
+++ b/libs/delegation/src/zinnia_delegation/ranking.py
@@ -11,6 +11,8 @@
 # Delegating a part with fewer shards costs about as much as sending its subrequests.
 MIN_PART_SHARDS = 30
 MAX_PARTS = 3
+# Covers the way of a report within a data centre, and a few milliseconds of a busy processor.
+LOCAL_REPORT_LEAD_S = 0.004
 
 
 def classify_speed(capacity: float) -> int:
@@ -32,13 +34,18 @@
     return sorted(members, key=order)
 
 
-def find_runners(members: Iterable[Member]) -> set[VmName]:
-    """Return the VMs of all data centres that run parts of fan-outs if every VM is available."""
+def group_members(members: Iterable[Member]) -> dict[DataCentreId, list[Member]]:
+    """Return the VMs of each data centre."""
     by_data_centre: dict[DataCentreId, list[Member]] = {}
     for member in members:
         by_data_centre.setdefault(member.data_centre, []).append(member)
+    return by_data_centre
+
+
+def find_runners(members: Iterable[Member]) -> set[VmName]:
+    """Return the VMs of all data centres that run parts of fan-outs if every VM is available."""
     runners: set[VmName] = set()
-    for local in by_data_centre.values():
+    for local in group_members(members).values():
         ranked = [rank_members(local, part) for part in range(MAX_PARTS)]
         runners.update(_choose_runners(ranked, {member.vm for member in local}, MAX_PARTS))
     return runners
@@ -65,32 +72,44 @@
     return chosen
 
 
+def rank_runners(members: Iterable[Member], first_part: int) -> list[Member]:
+    """Return the VMs of a data centre for a group of shards that is not split, best first.
+
+    The VMs that run the parts of split fan-outs come first, beginning with that of ``first_part``.
+    """
+    known = {member.vm: member for member in members}
+    ranked = [rank_members(known.values(), part) for part in range(MAX_PARTS)]
+    runners = _choose_runners(ranked, known, MAX_PARTS)
+    first = first_part % max(1, len(runners))
+    rotated = [known[vm] for vm in runners[first:] + runners[:first]]
+    return rotated + [member for member in ranked[first] if member.vm not in runners]
+
+
 def split_shards(
     services: Sequence[ServiceName],
     ranked: Sequence[Sequence[Member]],
     usable: Collection[VmName],
-    own: VmName,
-    min_shards: int,
+    own: Member,
 ) -> list[Assignment]:
     """Return the shards that other VMs run; this VM runs the shards that are not listed.
 
     Parameters
     ----------
     services : Sequence[ServiceName]
-        All shards of the request.
+        Shards with replicas in this data centre.
     ranked : Sequence[Sequence[Member]]
         The VMs of the data centre for each part, best first.
     usable : Collection[VmName]
         VMs that accept delegations now, and this VM.
-    own : VmName
+    own : Member
         This VM; its part is left out of the result.
-    min_shards : int
-        Minimum number of shards for which delegation is worth the latency of the extra hop.
     """
-    if len(services) < min_shards or not ranked:
+    if not services or not ranked:
         return []
     chosen = _choose_runners(ranked, usable, len(services) // MIN_PART_SHARDS)
     parts = len(chosen)
     return [
-        Assignment(vm, tuple(services[part::parts])) for part, vm in enumerate(chosen) if vm != own
+        Assignment(vm, tuple(services[part::parts]), own.data_centre, LOCAL_REPORT_LEAD_S)
+        for part, vm in enumerate(chosen)
+        if vm != own.vm
     ]
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -129,7 +129,11 @@
         self._request_log = RequestLog(events)
         self._route_states = RouteStates()
         self._delegator = PeerDelegator(
-            make_member(settings), lambda: self.catalog.members, events, settings.delegate_from
+            make_member(settings),
+            lambda: self.catalog.members,
+            lambda service: self._fleet.choose_data_centre(service, trio.current_time()),
+            events,
+            settings.delegate_from,
         )
         self._subquery_server: SubqueryServer | None = None
         self._is_stopping = False
--- a/libs/sending/src/zinnia_sending/delegation.py
+++ b/libs/sending/src/zinnia_sending/delegation.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from zinnia_catalog.ids import ServiceName, VmName
+from zinnia_catalog.ids import DataCentreId, ServiceName, VmName
 
 if TYPE_CHECKING:
     from zinnia_sending.attempts import RunRequest, ShardProgress
@@ -54,10 +54,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Assignment:
-    """The shards of a request that are assigned to one other VM."""
+    """The shards of a request that are assigned to one other VM in ``data_centre``.
+
+    The VM reports the answers that it has ``report_lead_s`` seconds before an incomplete answer is
+    sealed.
+    """
 
     vm: VmName
     services: tuple[ServiceName, ...]
+    data_centre: DataCentreId
+    report_lead_s: float
 
 
 class DelegationListener(ABC):
@@ -128,7 +134,7 @@
 
 
 class Delegator(ABC):
-    """Delegates shards of a request to other VMs of the data centre."""
+    """Delegates shards of a request to other VMs."""
 
     @abstractmethod
     def assign(self, services: Sequence[ServiceName]) -> list[Assignment]:
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -181,6 +181,25 @@
         ]
         return min(times, default=None)
 
+    def choose_data_centre(self, service: ServiceName, now: float) -> DataCentreId | None:
+        """Return the data centre whose replicas should answer a shard, None without a replica.
+
+        This VM's data centre comes first, then that of the replica with the lowest score. Replicas
+        that are only busy or suspended count, because VMs differ in what they may send.
+        """
+        excluded_version = self.versions.find_excluded_version(service)
+        lasting = [
+            replica
+            for replica in self._services.get(service, ())
+            if self._find_lasting_obstacle(replica, excluded_version) is None
+        ]
+        if not lasting:
+            return None
+        if any(replica.entry.data_centre == self._data_centre for replica in lasting):
+            return self._data_centre
+        best = min(lasting, key=lambda replica: self._score(replica, now))
+        return best.entry.data_centre
+
     def _find_obstacle(
         self,
         replica: Replica,
@@ -188,22 +207,27 @@
         tried: Collection[ReplicaId],
         now: float,
     ) -> Obstacle | None:
+        lasting = self._find_lasting_obstacle(replica, excluded_version)
+        if lasting is not None:
+            return lasting
+        return Obstacle.TRIED if replica.id in tried else self._find_load_obstacle(replica, now)
+
+    def _find_lasting_obstacle(
+        self, replica: Replica, excluded_version: VersionId | None
+    ) -> Obstacle | None:
+        """Return an obstacle that holds for requests of all VMs."""
         entry = replica.entry
         if entry.is_draining:
             return Obstacle.DRAINING
         if replica.is_gone:
             return Obstacle.GONE
-        if entry.id in tried:
-            return Obstacle.TRIED
         if entry.data_centre in self._excluded_data_centres:
             return Obstacle.DATA_CENTRE_OUT
-        if entry.version == excluded_version:
-            return Obstacle.VERSION_SHARE
-        if replica.is_cold(now) and not self._allows_warmup(replica, now):
-            return Obstacle.WARMING_UP
-        return self._find_load_obstacle(replica, now)
+        return Obstacle.VERSION_SHARE if entry.version == excluded_version else None
 
     def _find_load_obstacle(self, replica: Replica, now: float) -> Obstacle | None:
+        if replica.is_cold(now) and not self._allows_warmup(replica, now):
+            return Obstacle.WARMING_UP
         condition = replica.health.get_condition(now)
         if condition is Condition.SUSPENDED:
             return Obstacle.SUSPENDED
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -32,8 +32,6 @@
 # time covers some round trips within a data centre and a few milliseconds in which the processor
 # of the VM is busy.
 ACCEPT_TIMEOUT_S = 0.025
-# Other VMs report the answers that they have this long before an incomplete answer is sealed.
-REPORT_LEAD_S = 0.004
 # The delegation to a VM that has not reported this long after the planned seal ends as ``SILENT``.
 REPORT_GRACE_S = 0.012
 
@@ -201,7 +199,7 @@
         services = set(assignment.services)
         shards = {shard.service: shard for shard in self._shards if shard.service in services}
         max_missing = int(len(self._shards) * (1.0 - self._request.route.min_shard_ratio) + 1e-9)
-        report_at = self._seal_at - REPORT_LEAD_S
+        report_at = self._seal_at - assignment.report_lead_s
         delegation = Delegation(
             assignment,
             self._request,
@@ -212,7 +210,12 @@
             written_at=trio.current_time(),
         )
         self._delegations.append(delegation)
-        self._note("delegated", peer=assignment.vm, shards=len(shards))
+        self._note(
+            "delegated",
+            peer=assignment.vm,
+            data_centre=assignment.data_centre,
+            shards=len(shards),
+        )
         self._delegator.start(delegation)
 
     async def _wait_until_decided(self) -> None:
