Bound the bytes of a replica's answer, and skip late copies without an id

Cause: the parser limited only the body (4 MiB, with its cause lost in a callback). A late copy of an answer without a request id was taken for the answer to the next request: on a connection whose answers have ids, and on one in use again within 20 ms.

Change: limits on head, framing, body and on all answers of a VM, checked on the bytes read; the fault is typed, logged (bad_answer), counted and held against the replica, except when this VM's memory is full. An answer without an id is skipped once a connection has carried ids; a replica that sends none has its connection checked for unread bytes at each reuse.

--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -33,6 +33,7 @@
 from zinnia_sending.budgets import RetryBudget
 from zinnia_sending.dispatcher import Dispatcher
 from zinnia_sending.fleet import Fleet
+from zinnia_sending.limits import AnswerMemory
 from zinnia_sending.protocol import ReplicaProtocol
 
 EXPIRY_CHECK_INTERVAL_S = 0.2
@@ -43,6 +44,8 @@
 # Time before the end of the grace period at which the process stops waiting for requests.
 GRACE_PERIOD_MARGIN_S = 0.5
 MEMBERS_INTERVAL_S = 10.0
+# Fraction of the memory for the answers of replicas that are being received.
+ANSWER_MEMORY_FRACTION = 0.125
 # Delay before the second listing: VMs that start together have registered by then.
 FIRST_MEMBERS_INTERVAL_S = 1.0
 
@@ -201,7 +204,12 @@
     def _start_all(self, nursery: trio.Nursery) -> None:
         settings = self._settings
         dispatcher = Dispatcher(
-            nursery, self._fleet, self._adapter.replicas, self.metrics, self.events
+            nursery,
+            self._fleet,
+            self._adapter.replicas,
+            self.metrics,
+            self.events,
+            AnswerMemory(int(settings.memory_bytes * ANSWER_MEMORY_FRACTION)),
         )
         handler = TierHandler(
             self.catalog,
--- a/libs/entry/src/zinnia_entry/settings.py
+++ b/libs/entry/src/zinnia_entry/settings.py
@@ -7,6 +7,8 @@
 
 # Delegating a smaller fan-out isn't worth the extra hop: any VM sends it in a few milliseconds.
 MIN_SHARDS_TO_DELEGATE = 48
+# Memory of the smallest VMs.
+DEFAULT_MEMORY_BYTES = 200_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +28,8 @@
 
     ``seeds`` are peer addresses of some other VMs. Fleet-wide limits are divided among at least
     ``expected_vms`` VMs. ``capacity`` is the processor time of the VM, in CPU cores. A fan-out over
-    ``delegate_from`` shards or more is split over VMs. Times are in seconds.
+    ``delegate_from`` shards or more is split over VMs. The process may use ``memory_bytes`` of
+    memory. Times are in seconds.
     """
 
     vm: VmName
@@ -42,6 +45,7 @@
     expected_vms: int = 1
     capacity: float = 1.0
     delegate_from: int = MIN_SHARDS_TO_DELEGATE
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
 
 class SettingsError(Exception):
--- a/libs/sending/src/zinnia_sending/answers.py
+++ b/libs/sending/src/zinnia_sending/answers.py
@@ -4,6 +4,17 @@
 from enum import Enum
 
 
+class AnswerFault(Enum):
+    """What is wrong with the bytes that a replica sent as its answer."""
+
+    INVALID = "invalid"
+    HEAD_TOO_LARGE = "head_too_large"
+    FRAMING_TOO_LARGE = "framing_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    TOO_MANY_SKIPPED = "too_many_skipped"
+    MEMORY_FULL = "memory_full"
+
+
 class ExchangeResult(Enum):
     """How one exchange with a replica ended."""
 
@@ -57,9 +68,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
-    """Result of one exchange with a replica."""
+    """Result of one exchange with a replica; ``fault`` is set if its bytes were no valid answer."""
 
     result: ExchangeResult
     duration_s: float
     answer: ReplicaAnswer | None = None
     cause: str = ""
+    fault: AnswerFault | None = None
--- a/libs/sending/src/zinnia_sending/connections.py
+++ b/libs/sending/src/zinnia_sending/connections.py
@@ -18,6 +18,7 @@
 # Connections are dropped this long before the idle timeout that the replica sends.
 IDLE_TIMEOUT_MARGIN_S = 0.7
 # A connection that served an answer this recently is reused without a check that it is still open.
+# Answers without request ids are always checked for: a late one can't be told from the next answer.
 UNCHECKED_CONNECTION_IDLE_S = 0.02
 # A request that is not idempotent only reuses a connection that served an answer this recently, and
 # always after a check that it is still open.
@@ -43,14 +44,15 @@
 
 
 class Connection:
-    """One connection to a replica."""
+    """One connection to a replica; ``has_request_ids`` is set once an answer had a request id."""
 
-    __slots__ = ("_socket", "expires_at", "opened_at", "used_at")
+    __slots__ = ("_socket", "expires_at", "has_request_ids", "opened_at", "used_at")
 
     def __init__(self, sock: socket.socket, now: float) -> None:
         self._socket = sock
         self.opened_at = now
         self.used_at = now
+        self.has_request_ids = False
         self.expires_at = now + DEFAULT_IDLE_TIMEOUT_S
 
     def close(self) -> None:
@@ -149,6 +151,7 @@
             idle_s = now - connection.used_at
             is_too_old = must_be_recent and idle_s > RECENT_CONNECTION_IDLE_S
             must_check = must_be_recent or idle_s > UNCHECKED_CONNECTION_IDLE_S
+            must_check = must_check or not connection.has_request_ids
             is_usable = now < connection.expires_at and not is_too_old
             if is_usable and not (must_check and connection.is_stale()):
                 return connection
--- a/libs/sending/src/zinnia_sending/counters.py
+++ b/libs/sending/src/zinnia_sending/counters.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from zinnia_sending.answers import ExchangeResult
+from zinnia_sending.answers import AnswerFault, ExchangeResult
 from zinnia_sending.attempts import SendReason
 
 
@@ -16,3 +16,7 @@
     @abstractmethod
     def count_result(self, result: ExchangeResult, duration_s: float) -> None:
         """Count the result of an exchange and its duration in seconds."""
+
+    @abstractmethod
+    def count_fault(self, fault: AnswerFault) -> None:
+        """Count an answer that was rejected because of its bytes."""
--- a/libs/sending/src/zinnia_sending/dispatcher.py
+++ b/libs/sending/src/zinnia_sending/dispatcher.py
@@ -2,12 +2,14 @@
 
 import trio
 
-from zinnia_sending.answers import Exchange, ExchangeResult
+from zinnia_sending.answers import AnswerFault, Exchange, ExchangeResult
 from zinnia_sending.attempts import Attempt, AttemptSender
 from zinnia_sending.counters import SendCounters
 from zinnia_sending.events import EventSink
 from zinnia_sending.fleet import Fleet
+from zinnia_sending.limits import MAX_ANSWER_BYTES, MAX_PART_BYTES, AnswerLimits, AnswerMemory
 from zinnia_sending.protocol import ReplicaProtocol
+from zinnia_sending.replica import Replica
 
 # An attempt that is no longer needed, because a hedge answered first, may run this much longer, so
 # that its connection can be reused.
@@ -25,6 +27,8 @@
     ----------
     nursery : trio.Nursery
         Runs the tasks; attempts may outlive the request that started them.
+    answer_memory : AnswerMemory, optional
+        Limits the bytes of the answers that are received at the same time.
     """
 
     def __init__(
@@ -34,7 +38,11 @@
         protocol: ReplicaProtocol,
         counters: SendCounters,
         events: EventSink,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
+        memory = answer_memory or AnswerMemory()
+        self._part_limits = AnswerLimits(MAX_PART_BYTES, memory)
+        self._answer_limits = AnswerLimits(MAX_ANSWER_BYTES, memory)
         self._nursery = nursery
         self._fleet = fleet
         self._protocol = protocol
@@ -74,7 +82,11 @@
         request = attempt.request
         try:
             return await attempt.replica.exchange(
-                request.prepared, self._protocol, request.end_at, request.route.is_idempotent
+                request.prepared,
+                self._protocol,
+                request.end_at,
+                request.route.is_idempotent,
+                self._part_limits if request.is_fanout else self._answer_limits,
             )
         except Exception as error:  # An error in one attempt must not end the process.
             self._events.note("internal_error", where="exchange", cause=repr(error))
@@ -87,6 +99,8 @@
         replica.health.record_end(id(attempt))
         slowness = exchange.duration_s / latency.median_s
         self._counters.count_result(exchange.result, exchange.duration_s)
+        if exchange.fault is not None:
+            self._record_fault(replica, exchange)
         result = exchange.result
         if result is ExchangeResult.ANSWERED:
             latency.record(exchange.duration_s)
@@ -98,9 +112,19 @@
             self._events.note("replica_replaced", replica=replica.id, cause=exchange.cause)
         elif result is ExchangeResult.CANCELLED:
             self._record_cancelled(attempt, exchange, slowness, now)
-        else:
+        elif exchange.fault is not AnswerFault.MEMORY_FULL:
             self._record_failure(attempt, exchange.cause, now)
 
+    def _record_fault(self, replica: Replica, exchange: Exchange) -> None:
+        self._counters.count_fault(exchange.fault)
+        self._events.note(
+            "bad_answer",
+            replica=replica.id,
+            service=replica.entry.service,
+            fault=exchange.fault.value,
+            cause=exchange.cause,
+        )
+
     def _record_cancelled(
         self, attempt: Attempt, exchange: Exchange, slowness: float, now: float
     ) -> None:
--- a/libs/sending/src/zinnia_sending/replica.py
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -7,15 +7,23 @@
 from zinnia_catalog.ids import ReplicaId
 from zinnia_catalog.replicas import ReplicaEntry
 from zinnia_catalog.routes import ServiceLimits
-from zinnia_sending.answers import AnswerFacts, Exchange, ExchangeResult, ReplicaAnswer
+from zinnia_sending.answers import (
+    AnswerFacts,
+    AnswerFault,
+    Exchange,
+    ExchangeResult,
+    ReplicaAnswer,
+)
 from zinnia_sending.budgets import WarmupRateLimiter
 from zinnia_sending.connections import (
+    Connection,
     ConnectionEndedError,
     ConnectionPool,
     NotConnectedError,
     RawAnswer,
 )
 from zinnia_sending.health import ReplicaHealth
+from zinnia_sending.limits import AnswerLimits
 from zinnia_sending.parser import AnswerParser, BadAnswerError
 from zinnia_sending.protocol import PreparedRequest, ReplicaProtocol
 
@@ -78,6 +86,7 @@
         protocol: ReplicaProtocol,
         end_at: float,
         is_idempotent: bool,
+        limits: AnswerLimits | None = None,
     ) -> Exchange:
         """Send a request and return its result; expected errors are results, not exceptions."""
         started_at = trio.current_time()
@@ -88,24 +97,27 @@
         except NotConnectedError as error:
             return _end_exchange(ExchangeResult.NOT_SENT, started_at, str(error))
         is_kept = False
+        reader = _AnswerReader(request, protocol, connection)
+        parser = AnswerParser(request.is_head, reader.is_own, limits)
         try:
             remaining_s = end_at - trio.current_time()
             if remaining_s <= 0:
                 is_kept = True
                 self.pool.release(connection, trio.current_time(), None)
                 return _end_exchange(ExchangeResult.NOT_SENT, started_at, "no time left")
-            data = request.render(self.id, remaining_s)
-            reader = _AnswerReader(request, protocol)
-            raw = await connection.exchange(data, AnswerParser(request.is_head, reader.is_own))
+            raw = await connection.exchange(request.render(self.id, remaining_s), parser)
             is_kept = raw.is_reusable
             if is_kept:
                 self.pool.release(
                     connection, trio.current_time(), parse_keep_alive_timeout(raw.headers)
                 )
             return self._classify_answer(raw, reader.facts, started_at)
-        except (ConnectionEndedError, BadAnswerError) as error:
+        except ConnectionEndedError as error:
             return _end_exchange(ExchangeResult.BROKEN, started_at, str(error))
+        except BadAnswerError as error:
+            return _end_exchange(ExchangeResult.BROKEN, started_at, str(error), error.fault)
         finally:
+            parser.release_memory()
             if not is_kept:
                 self.pool.discard(connection)
 
@@ -136,15 +148,25 @@
 class _AnswerReader:
     """Recognizes the answer to one request and keeps the facts of the latest answer."""
 
-    def __init__(self, request: PreparedRequest, protocol: ReplicaProtocol) -> None:
+    def __init__(
+        self, request: PreparedRequest, protocol: ReplicaProtocol, connection: Connection
+    ) -> None:
         self.facts: AnswerFacts | None = None
         self._request_id = request.request_id
         self._protocol = protocol
+        self._connection = connection
 
     def is_own(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> bool:
-        """Return whether an answer has the id of the request, or no request id."""
+        """Return whether an answer has the id of the request.
+
+        An answer without an id counts as well, unless the replica has sent ids on this connection:
+        it is then a late answer to an earlier request.
+        """
         self.facts = self._protocol.read_facts(status, headers)
-        return self.facts.request_id in (b"", self._request_id)
+        if not self.facts.request_id:
+            return not self._connection.has_request_ids
+        self._connection.has_request_ids = True
+        return self.facts.request_id == self._request_id
 
 
 def parse_keep_alive_timeout(headers: tuple[tuple[bytes, bytes], ...]) -> float | None:
@@ -159,6 +181,8 @@
     return None
 
 
-def _end_exchange(result: ExchangeResult, started_at: float, cause: str) -> Exchange:
+def _end_exchange(
+    result: ExchangeResult, started_at: float, cause: str, fault: AnswerFault | None = None
+) -> Exchange:
     """Return the result of an exchange that gave no answer."""
-    return Exchange(result, trio.current_time() - started_at, None, cause)
+    return Exchange(result, trio.current_time() - started_at, None, cause, fault)
--- a/libs/sending/tests/test_dispatcher.py
+++ b/libs/sending/tests/test_dispatcher.py
@@ -19,6 +19,9 @@
     def count_result(self, result, duration_s):
         pass
 
+    def count_fault(self, fault):
+        pass
+
 
 class HangingReplicaTest(unittest.TestCase):
     def run_attempts(self, count, act, error=None):
--- a/libs/sending/tests/test_replica.py
+++ b/libs/sending/tests/test_replica.py
@@ -1,13 +1,17 @@
+import contextlib
 import unittest
 
 import trio
 from fakes import make_entry
 
-from zinnia_sending.answers import AnswerFacts, ExchangeResult
+from zinnia_sending.answers import AnswerFacts, AnswerFault, ExchangeResult
 from zinnia_sending.protocol import PreparedRequest, ReplicaProtocol
 from zinnia_sending.replica import Replica
 
 LIMIT_S = 2.0
+COPY_DELAY_S = 0.002
+# Shorter than the time for which a connection is reused without a check.
+REUSE_PAUSE_S = 0.008
 
 
 class PlainRequest(PreparedRequest):
@@ -50,7 +54,8 @@
 class ScriptedReplica:
     """Serves connections; each request gets the next of ``answers``.
 
-    An answer is bytes, ``"close"`` (the connection is closed) or ``"silent"`` (no answer).
+    An answer is bytes, ``"close"`` (the connection is closed), ``"silent"`` (no answer) or a pair
+    of an answer and bytes that are sent ``COPY_DELAY_S`` later.
     """
 
     def __init__(self, answers):
@@ -60,6 +65,11 @@
 
     async def serve(self, stream):
         self.connections += 1
+        # A caller that closes the connection may leave bytes unread.
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self.serve_requests(stream)
+
+    async def serve_requests(self, stream):
         async with stream:
             while await stream.receive_some(4096):
                 self.requests += 1
@@ -68,7 +78,11 @@
                     await trio.sleep_forever()
                 if answer == "close":
                     return
+                answer, late = answer if isinstance(answer, tuple) else (answer, b"")
                 await stream.send_all(answer)
+                if late:
+                    await trio.sleep(COPY_DELAY_S)
+                    await stream.send_all(late)
                 if b"Content-Length" not in answer:
                     return
 
@@ -114,6 +128,32 @@
         self.assertEqual([b"hello", b"hello"], [row.answer.body for row in results])
         self.assertEqual(1, scripted.connections)
 
+    def test_late_copy_without_an_id_is_skipped_if_answers_have_ids(self):
+        """Load pattern: a replica sends a second copy of an answer when the next one is due.
+
+        Guards against a caller that gets the answer to another request.
+        """
+        late = make_answer(b"", b"wrong")
+        scripted, results = self.exchange(
+            [make_answer(), late + make_answer(body=b"right")], count=2
+        )
+        self.assertEqual([b"hello", b"right"], [row.answer.body for row in results])
+
+    def test_late_copy_of_an_answer_without_ids_is_never_read(self):
+        """Load pattern: as above, at replicas that send no ids, on a connection in quick reuse."""
+        first = (make_answer(b""), make_answer(b"", b"wrong"))
+        scripted, results = self.exchange(
+            [first, make_answer(b"", b"right")], count=2, pause_s=REUSE_PAUSE_S
+        )
+        self.assertEqual([b"hello", b"right"], [row.answer.body for row in results])
+        self.assertEqual(2, scripted.connections)
+
+    def test_endless_answer_is_a_fault_of_the_replica(self):
+        """Load pattern: a replica in trouble sends a head that does not end."""
+        _, results = self.exchange([b"HTTP/1.1 200 OK\r\n" + b"X-Header: v\r\n" * 50_000])
+        self.assertIs(ExchangeResult.BROKEN, results[0].result)
+        self.assertIs(AnswerFault.HEAD_TOO_LARGE, results[0].fault)
+
     def test_exchange_with_answers_to_other_requests_only_is_broken(self):
         """Guards against waiting forever on a connection that only answers other requests."""
         _, results = self.exchange([make_answer(b"other", b"wrong") * 5])
--- a/programs/measure/src/zinnia_measure/entry_cost.py
+++ b/programs/measure/src/zinnia_measure/entry_cost.py
@@ -22,7 +22,7 @@
     ServiceLimits,
 )
 from zinnia_measure import constant_server
-from zinnia_sending.answers import AnswerFacts, ExchangeResult
+from zinnia_sending.answers import AnswerFacts, AnswerFault, ExchangeResult
 from zinnia_sending.attempts import RunRequest, SendReason
 from zinnia_sending.budgets import RetryBounds, RetryBudget
 from zinnia_sending.counters import SendCounters
@@ -86,6 +86,9 @@
     def count_result(self, result: ExchangeResult, duration_s: float) -> None:
         """Ignore a result."""
 
+    def count_fault(self, fault: AnswerFault) -> None:
+        """Ignore a rejected answer."""
+
 
 @dataclass(frozen=True, slots=True)
 class EntryCost:
