Answer requests that the kernel holds when the server stops listening

Cause: at the end of a drain the listener was closed with connections in its queue, which resets them; idle connections were closed although their next request had arrived; and the second of two requests that were read together was dropped, because the first reply closed the connection.

Change: the server accepts until no connection has arrived for 50 ms, keeps idle connections for another 100 ms, and closes a draining connection only after the last request that it has read. test_server also imports trio.testing itself; alone, it failed without.

--- a/libs/entry/src/zinnia_entry/server.py
+++ b/libs/entry/src/zinnia_entry/server.py
@@ -3,6 +3,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from math import inf
 
 import h11
 import trio
@@ -21,6 +22,11 @@
 BIND_ATTEMPTS = 20
 BIND_RETRY_DELAY_S = 0.25
 TCP_USER_TIMEOUT_MS = 10000
+# Before it stops listening, the server accepts connections until none has arrived for this time.
+LAST_ACCEPT_WAIT_S = 0.05
+# An idle connection is closed this long after the server stops, or after it was accepted, whichever
+# is later. A request that has reached this VM by then is answered.
+LAST_REQUEST_WAIT_S = 0.1
 
 
 class RequestHandler(ABC):
@@ -62,45 +68,74 @@
         self._get_limits = get_limits
         self._events = events
         self._idle_scopes: set[trio.CancelScope] = set()
-        self._is_closing = False
-        self._listener: trio.socket.SocketType | None = None
-        self._connection_closed = trio.Event()
+        self._accept_scope = trio.CancelScope()
+        self._closing_at = inf
+        self._is_listening = False
+        self._has_changed = trio.Event()
         self.is_draining = False
         self.active_requests = 0
         self.connections = 0
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether idle connections are being closed."""
+        return self._closing_at < inf
+
     async def serve(self, host: str, port: int, nursery: trio.Nursery) -> None:
         """Listen and serve connections until cancelled or closed."""
-        self._listener = listener = await open_listener(host, port)
-        with listener:
-            while not self._is_closing:
-                try:
-                    connection, _ = await listener.accept()
-                except (OSError, trio.ClosedResourceError) as error:
-                    if self._is_closing:
-                        return
-                    self._events.note("accept_failed", cause=str(error))
-                    await trio.sleep(BIND_RETRY_DELAY_S)
-                    continue
-                nursery.start_soon(self._serve_connection, connection)
+        with await open_listener(host, port) as listener:
+            self._is_listening = True
+            with self._accept_scope:
+                while True:
+                    await self._accept(listener, nursery)
+            await self._accept_last(listener, nursery)
+        self._is_listening = False
+        self._notify_change()
+
+    async def _accept(self, listener: trio.socket.SocketType, nursery: trio.Nursery) -> None:
+        """Accept one connection, or wait a moment after an error such as too many open files."""
+        try:
+            connection, _ = await listener.accept()
+        except OSError as error:
+            self._events.note("accept_failed", cause=str(error))
+            await trio.sleep(BIND_RETRY_DELAY_S)
+            return
+        self.connections += 1
+        nursery.start_soon(self._serve_connection, connection)
+
+    async def _accept_last(self, listener: trio.socket.SocketType, nursery: trio.Nursery) -> None:
+        """Accept the connections that the kernel has established for this process."""
+        has_accepted = True
+        while has_accepted:
+            with trio.move_on_after(LAST_ACCEPT_WAIT_S) as scope:
+                await self._accept(listener, nursery)
+            has_accepted = not scope.cancelled_caught
 
     def close_idle(self) -> None:
         """Stop listening and close idle connections; the others close after their reply."""
         self.is_draining = True
-        self._is_closing = True
-        if self._listener is not None:
-            self._listener.close()
-        for scope in list(self._idle_scopes):
-            scope.cancel()
+        self._closing_at = trio.current_time()
+        self._accept_scope.cancel()
+        for scope in self._idle_scopes:
+            scope.deadline = min(scope.deadline, self._closing_at + LAST_REQUEST_WAIT_S)
 
     async def wait_closed(self) -> None:
-        """Return once no connection is open."""
-        while self.connections:
-            await self._connection_closed.wait()
-            self._connection_closed = trio.Event()
+        """Return once the server has stopped listening and no connection is open."""
+        while self.connections or self._is_listening:
+            await self._has_changed.wait()
+
+    def find_idle_deadline(self, idle_since: float) -> float:
+        """Return the time at which a connection without a request is closed."""
+        idle_until = idle_since + self._get_limits().idle_timeout_s * IDLE_TIMEOUT_FACTOR
+        if not self.is_closing:
+            return idle_until
+        return min(idle_until, max(self._closing_at, idle_since) + LAST_REQUEST_WAIT_S)
+
+    def _notify_change(self) -> None:
+        self._has_changed.set()
+        self._has_changed = trio.Event()
 
     async def _serve_connection(self, connection: trio.socket.SocketType) -> None:
-        self.connections += 1
         try:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
@@ -111,7 +146,7 @@
             self._events.note("internal_error", where="caller connection", cause=repr(error))
         finally:
             self.connections -= 1
-            self._connection_closed.set()
+            self._notify_change()
             connection.close()
 
 
@@ -169,24 +204,18 @@
         """Wait for data of the next request; return False if it does not arrive in time."""
         if self._http.trailing_data[0]:
             return True
-        if self._server._is_closing:
-            return False
+        server = self._server
         idle_since = trio.current_time()
-        while True:
-            idle_until = (
-                idle_since + self._server._get_limits().idle_timeout_s * IDLE_TIMEOUT_FACTOR
-            )
-            with trio.move_on_at(idle_until) as scope:
-                self._server._idle_scopes.add(scope)
+        while trio.current_time() < server.find_idle_deadline(idle_since):
+            with trio.move_on_at(server.find_idle_deadline(idle_since)) as scope:
+                server._idle_scopes.add(scope)
                 try:
                     data = await self._socket.recv(RECEIVE_BUFFER_BYTES)
                 finally:
-                    self._server._idle_scopes.discard(scope)
+                    server._idle_scopes.discard(scope)
                 self._parse(data)
                 return bool(data)
-            close_at = idle_since + self._server._get_limits().idle_timeout_s * IDLE_TIMEOUT_FACTOR
-            if self._server._is_closing or trio.current_time() >= close_at:
-                return False
+        return False
 
     def _check_head(self, head: h11.Request) -> None:
         """Reject a head above the limit; h11 accepts one that arrives in a single read."""
@@ -271,7 +300,8 @@
 
     async def _send(self, method: bytes, reply: CallerReply) -> None:
         headers = [*reply.headers, (b"content-length", str(len(reply.body)).encode())]
-        if self._server.is_draining:
+        has_next_request = bool(self._http.trailing_data[0])
+        if self._server.is_draining and not has_next_request:
             headers.append((b"connection", b"close"))
         pieces = [
             self._http.send(h11.Response(status_code=reply.status, headers=headers)),
--- a/libs/entry/tests/test_server.py
+++ b/libs/entry/tests/test_server.py
@@ -1,6 +1,8 @@
+import socket
 import unittest
 
 import trio
+import trio.testing
 
 from zinnia_catalog.routes import CallerLimits
 from zinnia_entry.messages import CallerReply
@@ -189,3 +191,63 @@
                 await trio.open_tcp_stream(HOST, port)
 
         self.run_server(check)
+
+    def check_answered_at_close(self, send):
+        """Check that a request is answered that the kernel has when the server stops listening.
+
+        ``send`` gets the port and returns the socket of the caller, without yielding afterwards.
+        """
+
+        async def check(handler, server, port):
+            caller = await send(port)
+            server.close_idle()
+            caller.setblocking(False)
+            reply = await self.read_all(trio.SocketStream(trio.socket.from_stdlib_socket(caller)))
+            self.assertIn(b"/x|", reply)
+            self.assertIn(b"connection: close", reply.lower())
+            await server.wait_closed()
+            self.assertEqual(1, len(handler.requests))
+
+        self.run_server(check)
+
+    def test_request_on_a_connection_that_waits_to_be_accepted_is_answered(self):
+        """Load pattern: a planned stop under load, with connections in the queue of the listener.
+
+        Guards against resetting connections that the kernel has accepted for this process.
+        """
+
+        async def send(port):
+            caller = socket.create_connection((HOST, port))
+            caller.sendall(GET)
+            return caller
+
+        self.check_answered_at_close(send)
+
+    def test_request_that_reached_an_idle_connection_is_answered(self):
+        """Load pattern: a planned stop under load, with a request in the receive buffer.
+
+        Guards against closing an idle connection whose next request has arrived.
+        """
+
+        async def send(port):
+            caller = socket.create_connection((HOST, port))
+            await trio.testing.wait_all_tasks_blocked()
+            caller.sendall(GET)
+            return caller
+
+        self.check_answered_at_close(send)
+
+    def test_requests_that_were_read_together_are_all_answered_while_draining(self):
+        """Load pattern: a planned stop under load, with requests in a pipeline.
+
+        Guards against dropping a request that was read in the same packet as another one.
+        """
+
+        async def check(handler, server, port):
+            server.is_draining = True
+            reply = await self.send_and_read(port, GET + GET.replace(b"/x", b"/y"))
+            self.assertIn(b"/x|", reply)
+            self.assertIn(b"/y|", reply)
+            self.assertEqual(1, reply.lower().count(b"connection: close"))
+
+        self.run_server(check)
