Be ready after a restart only with current data

Cause: a process that starts takes its first data from a random peer and reported ready at once, also when that peer was cut off from the store: replicas that had left were in use again until a current source was found, up to 1.8 s and one watch later.

Change: the process is ready once its data has been current, or after 3 s if no source has current data, as while the store is down. If the data of the peer is too old, the first watch returns at once.

Result: test_sources: with data of 30 s the VM asks the store and is ready within 1.5 s (before: at once, with the old data), with current data at once, and after 3 s while the store is down.

--- a/libs/entry/src/zinnia_entry/feeds.py
+++ b/libs/entry/src/zinnia_entry/feeds.py
@@ -83,13 +83,22 @@
             changes = collection.replace(await self._store.list(self._kind))
             self._must_list = False
         else:
-            await trio.sleep_until(self._watch_from)
             timeout_s = WATCH_TIMEOUT_S[self._kind]
+            if trio.current_time() < self._watch_from:
+                timeout_s = await self._wait_to_watch(timeout_s)
             update = await self._store.watch(self._kind, collection.revision, timeout_s)
             changes = collection.advance(update)
         self._store_cache.confirm(self._kind, changes)
         return bool(changes)
 
+    async def _wait_to_watch(self, timeout_s: float) -> float:
+        """Return the timeout of the first watch: 0 at once if the data of a peer is too old."""
+        age_s = self._store_cache.get_age(self._kind)
+        if age_s is None or age_s > timeout_s:
+            return 0.0
+        await trio.sleep_until(self._watch_from)
+        return timeout_s
+
     def _note_failure(self, error: StoreError) -> None:
         self._store_cache.note_failure(self._kind)
         self._metrics.count_store_call(self._kind.value, "failed")
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -153,10 +153,10 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether this VM has a configuration and a list of replicas, and is not stopping."""
+        """Whether this VM has a configuration and current data, and is not stopping."""
         if self._is_stopping or self.catalog.configuration is None:
             return False
-        return self._store_cache.collections[ObjectKind.REPLICAS].is_known
+        return self._source_controller.has_started()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; reload the settings on SIGHUP."""
--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -1,6 +1,7 @@
 """Choice of the source of store changes: the platform's store, or a VM that watches the store."""
 
 from collections.abc import Callable, Mapping
+from math import inf
 from random import Random
 
 import trio
@@ -50,6 +51,8 @@
 # VMs that start together have found each other after this time, and most of them then follow
 # another VM. Until then they list the objects of the store, but do not watch them.
 START_WATCH_DELAY_S = 1.8
+# A VM that starts waits this long for a source with current data, before it serves with older data.
+CURRENT_DATA_TIMEOUT_S = 3.0
 
 
 class SourceController:
@@ -86,13 +89,27 @@
         self._watch_scope: trio.CancelScope | None = None
         self._direct_until = 0.0
         self._watch_start_at = 0.0
+        self._current_data_due = inf
         self._source = ""
         self._ranked_vms: set[str] = set()
         self._watchers: list[Member] = []
 
+    def has_started(self) -> bool:
+        """Return whether the data has been current since the start, or no source has such data.
+
+        The first data may come from a VM that is cut off from the store; it then names replicas
+        that have left since.
+        """
+        if not self._store_cache.is_complete:
+            return False
+        if self._store_cache.is_fresh(MAX_DATA_AGE_S):
+            self._current_data_due = -inf
+        return trio.current_time() >= self._current_data_due
+
     async def run(self) -> None:
         """Update the cache from the best source until cancelled."""
         self._watch_start_at = trio.current_time() + START_WATCH_DELAY_S
+        self._current_data_due = trio.current_time() + CURRENT_DATA_TIMEOUT_S
         with trio.move_on_after(START_POLL_TIMEOUT_S):
             await self._poll_random_peer(START_CONNECT_TIMEOUT_S)
         async with trio.open_nursery() as nursery:
--- a/libs/entry/tests/test_sources.py
+++ b/libs/entry/tests/test_sources.py
@@ -8,7 +8,12 @@
 from zinnia_catalog.members import SHARED_WATCHER_COUNT, Member, rank_names
 from zinnia_catalog.objects import Listing, StoredObject, StoreError
 from zinnia_entry.metrics import Metrics
-from zinnia_entry.sources import FOLLOWED_KINDS, SourceController, parse_address
+from zinnia_entry.sources import (
+    CURRENT_DATA_TIMEOUT_S,
+    FOLLOWED_KINDS,
+    SourceController,
+    parse_address,
+)
 from zinnia_relay.client import PeerLostError
 from zinnia_relay.store_cache import StoreCache
 
@@ -46,31 +51,72 @@
         """Run a VM, with peers that are ``age_s`` behind or ``lost``; return its sources."""
 
         async def main():
-            store_cache = StoreCache(FOLLOWED_KINDS, lambda *_: None)
-            if has_cache:
-                for kind in FOLLOWED_KINDS:
-                    collection = store_cache.collections[kind]
-                    collection.replace(Listing((StoredObject("a", 1, {}),), 5))
-            events = RecordingSink()
-            controller = SourceController(
-                make_settings(vm=vm, data_centre=MEMBERS[vm].data_centre),
-                store_cache,
-                store or SlowStore(),
-                lambda: MEMBERS,
-                Metrics(),
-                events,
-                Random(1),
-            )
-            lost_addresses = {MEMBERS[name].peer_address for name in lost}
-            controller._connect = lambda address, _=0.0: FakePeer(
-                store_cache, None if str(address) in lost_addresses else age_s
-            )
+            controller, events = self.make_controller(vm, age_s, has_cache, lost, store)
             with trio.move_on_after(seconds):
                 await controller.run()
             return [fields["source"] for name, fields in events.events if name == "source_changed"]
 
         return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def make_controller(self, vm, age_s, has_cache, lost, store):
+        store_cache = StoreCache(FOLLOWED_KINDS, lambda *_: None)
+        if has_cache:
+            for kind in FOLLOWED_KINDS:
+                collection = store_cache.collections[kind]
+                collection.replace(Listing((StoredObject("a", 1, {}),), 5))
+        events = RecordingSink()
+        controller = SourceController(
+            make_settings(vm=vm, data_centre=MEMBERS[vm].data_centre),
+            store_cache,
+            store or SlowStore(),
+            lambda: MEMBERS,
+            Metrics(),
+            events,
+            Random(1),
+        )
+        lost_addresses = {MEMBERS[name].peer_address for name in lost}
+        controller._connect = lambda address, _=0.0: FakePeer(
+            store_cache, None if str(address) in lost_addresses else age_s
+        )
+        return controller, events
+
+    def find_start_time(self, age_s, store=None):
+        """Return when a VM that has received its data from a peer has started, in seconds."""
+
+        async def main():
+            vm = rank_names(NAMES)[-1]
+            controller, _ = self.make_controller(vm, age_s, True, (), store)
+            started = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(controller.run)
+                while not controller.has_started():  # noqa: ASYNC110 - polled like a probe
+                    await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+            return trio.current_time() - started
+
+        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_restarted_vm_does_not_serve_with_the_old_data_of_a_peer(self):
+        """Load pattern: a VM restarts while some VMs are cut off from the store.
+
+        Guards against sending to replicas that have left, because a cut-off VM still lists them.
+        """
+        store = SlowStore()
+        start_s = self.find_start_time(30.0, store)
+        self.assertEqual(set(FOLLOWED_KINDS), set(store.watched_kinds))
+        self.assertLess(start_s, CURRENT_DATA_TIMEOUT_S / 2)
+
+    def test_restarted_vm_serves_at_once_with_current_data_of_a_peer(self):
+        """Guards against a start that waits although a peer has current data."""
+        self.assertLess(self.find_start_time(0.5), 0.2)
+
+    def test_restarted_vm_serves_with_old_data_while_the_store_is_down(self):
+        """Load pattern: the store is down; guards against VMs that never take requests then."""
+        store = SlowStore()
+        store.lists = store.watches = [StoreError("unavailable")] * 1000
+        start_s = self.find_start_time(30.0, store)
+        self.assertAlmostEqual(CURRENT_DATA_TIMEOUT_S, start_s, delta=0.1)
+
     def test_few_vms_watch_and_the_others_follow(self):
         """Load pattern: many VMs, and the store charges for every call.
 
