Wait for a silent VM if its shards can't be sent from here

Cause: a VM that did not accept within 25 ms, or report by the planned seal, had its running work withdrawn even when nothing could replace it: with the retry budget or the attempts used up, its shards were given up and the request failed, although the answers came a few milliseconds later.

Change: a delegation is withdrawn only if the request can be answered with what this VM may send in its place; otherwise the VM gets no new work, is pinged, and its report is used when it comes. A VM that proves lost ends the wait. Ruled out: sending here without withdrawing, since the sends of both VMs could exceed MaxAttempts.

--- a/libs/delegation/src/zinnia_delegation/delegator.py
+++ b/libs/delegation/src/zinnia_delegation/delegator.py
@@ -135,10 +135,9 @@
             link.finish(delegation, is_answered)
 
     def record_silence(self, delegation: Delegation) -> None:
-        """Withdraw a delegation that got no reply, and don't use its VM until it sends a reply."""
+        """Don't use the VM of a delegation until it sends a reply."""
         link = self._links.get(delegation.assignment.vm)
         if link is not None:
-            link.finish(delegation, False)
             link.record_silence()
 
     def _refresh(self, nursery: trio.Nursery) -> None:
--- a/libs/entry/tests/test_server.py
+++ b/libs/entry/tests/test_server.py
@@ -16,6 +16,10 @@
 )
 
 
+# More than the limits, the receive buffer and what the kernel buffers.
+MAX_ENDLESS_BYTES = 32 * 1024 * 1024
+
+
 class Handler(RequestHandler):
     def __init__(self):
         self.requests = []
@@ -192,6 +196,45 @@
 
         self.run_server(check)
 
+    def test_endless_request_is_rejected_within_the_limits(self):
+        """Load pattern: a caller sends bytes without end, in a head, a body or its framing.
+
+        Guards against a caller that fills the memory of a VM or holds its event loop.
+        """
+        head = b"POST /x HTTP/1.1\r\nHost: h\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        for name, start, repeated in (
+            ("headers", head, b"X-H: v\r\n"),
+            ("header value", head + b"X-H: ", b"v" * 16),
+            ("target", b"GET /", b"x" * 16),
+            ("chunks", chunked, b"4\r\nbody\r\n"),
+            ("chunk extension", chunked + b"4;", b"e" * 16),
+            ("trailers", chunked + b"0\r\n", b"X-T: v\r\n"),
+        ):
+            with self.subTest(name):
+                self.check_refuses_endless(start, repeated)
+
+    def check_refuses_endless(self, start, repeated):
+        async def check(handler, server, port):
+            stream = await trio.open_tcp_stream(HOST, port)
+            sent = await self.send_until_closed(stream, start, repeated * 512)
+            self.assertLess(sent, MAX_ENDLESS_BYTES)
+            self.assertEqual([], handler.requests)
+
+        self.run_server(check)
+
+    async def send_until_closed(self, stream, start, piece):
+        """Return how many bytes were sent until the server closed the connection."""
+        sent = 0
+        try:
+            await stream.send_all(start)
+            while sent < MAX_ENDLESS_BYTES:
+                await stream.send_all(piece)
+                sent += len(piece)
+        except trio.BrokenResourceError:
+            pass  # The server has closed the connection with bytes unread.
+        return sent
+
     def check_answered_at_close(self, send):
         """Check that a request is answered that the kernel has when the server stops listening.
 
--- a/libs/sending/src/zinnia_sending/budgets.py
+++ b/libs/sending/src/zinnia_sending/budgets.py
@@ -87,13 +87,17 @@
 
         ``reserve`` is the fraction (0 to 1) of the budget that must remain after the send.
         """
+        if not self.allows_send(service, now, reserve):
+            return False
+        self._windows[service].extra_sends.append(now)
+        return True
+
+    def allows_send(self, service: ServiceName, now: float, reserve: float = 0.0) -> bool:
+        """Return whether the budget allows an extra send; parameters as for ``try_spend``."""
         window = self._advance(service, now)
         slack = self.bounds.slack * self._get_share(service)
         allowed = USED_BOUND_FRACTION * (slack + self.bounds.ratio * window.requests)
-        if len(window.extra_sends) + 1 > allowed * (1.0 - reserve):
-            return False
-        window.extra_sends.append(now)
-        return True
+        return len(window.extra_sends) + 1 <= allowed * (1.0 - reserve)
 
     def _advance(self, service: ServiceName, now: float) -> _SendWindow:
         window = self._windows.get(service)
--- a/libs/sending/src/zinnia_sending/delegation.py
+++ b/libs/sending/src/zinnia_sending/delegation.py
@@ -85,7 +85,8 @@
     ``written_at`` is when this VM wrote the message, which is later than the start of the
     delegation if this VM is busy. ``report_at`` is when the other VM reports the answers that it
     has, and ``hedge_at`` when it sends hedges. The other VM refuses the delegation if at least
-    ``absent_shards_to_refuse`` of the shards have no usable replica.
+    ``absent_shards_to_refuse`` of the shards have no usable replica. ``is_awaited`` is set if the
+    VM is overdue, but its work can't be replaced.
     """
 
     assignment: Assignment
@@ -98,6 +99,7 @@
     hedge_at: float = inf
     is_accepted: bool = False
     has_reported: bool = False
+    is_awaited: bool = False
     is_over: bool = False
 
     def record_write_time(self) -> None:
@@ -150,4 +152,4 @@
 
     @abstractmethod
     def record_silence(self, delegation: Delegation) -> None:
-        """Record that the assigned VM did not reply in time."""
+        """Use the assigned VM for no other request until it replies, as its reply is overdue."""
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -227,25 +227,51 @@
                 self._hedge_shards()
                 hedge_at = None
                 continue
-            if self._end_silent_delegations(now):
+            if self._handle_overdue_delegations(now):
                 continue
             await self._wait_for_decision(self._find_next_time(hedge_at))
 
-    def _end_silent_delegations(self, now: float) -> bool:
-        """End delegations whose VM did not reply in time; return whether there were any."""
-        silent = [
+    def _handle_overdue_delegations(self, now: float) -> bool:
+        """Withdraw or await delegations whose VM did not reply in time; return whether any."""
+        overdue = [
             delegation
             for delegation in self._delegations
-            if not delegation.is_over and self._find_report_deadline(delegation) <= now
+            if not delegation.is_over
+            and self._find_report_deadline(delegation) <= now < self._end_at
         ]
-        for delegation in silent:
+        for delegation in overdue:
             self._delegator.record_silence(delegation)
-            delegation.end(DelegationEnd.SILENT)
-        return bool(silent)
+            if self._can_do_without(delegation, now):
+                self._delegator.finish(delegation, False)
+                delegation.end(DelegationEnd.SILENT)
+            else:
+                delegation.is_awaited = True
+                self._note("delegate_awaited", peer=delegation.assignment.vm)
+        return bool(overdue)
+
+    def _can_do_without(self, delegation: Delegation, now: float) -> bool:
+        """Return whether the request can be answered if this VM takes over the open shards.
+
+        A VM that is only slow may still report; its work is withdrawn only if it can be replaced.
+        """
+        sends = delegation.count_sends(DelegationEnd.SILENT, now)
+        lost = sum(
+            not shard.is_settled and not self._can_take_over(shard, sends, now)
+            for shard in delegation.shards.values()
+        )
+        return self._can_answer_with(self._answered + self._pending - lost)
+
+    def _can_take_over(self, shard: ShardProgress, sends: int, now: float) -> bool:
+        """Return whether this VM may send for a shard after ``sends`` sends of another VM."""
+        return (
+            sends < self._request.route.max_attempts
+            and self._budget.allows_send(shard.service, now)
+            and self._fleet.choose(shard.service, (), now) is not None
+        )
 
     def _find_report_deadline(self, delegation: Delegation) -> float:
         """Return the time by which the VM has to accept or report."""
-        if delegation.has_reported:
+        if delegation.has_reported or delegation.is_awaited:
             return self._end_at
         if delegation.is_accepted:
             return self._seal_at + REPORT_GRACE_S
--- a/libs/sending/tests/test_delegation.py
+++ b/libs/sending/tests/test_delegation.py
@@ -158,6 +158,50 @@
         self.assertLess(harness.took_s, TARGET_S + REPORT_GRACE_S + 0.02)
         self.assertEqual(["vm-2"], delegator.silent)
 
+    def test_work_of_a_silent_vm_is_not_given_up_while_its_shards_are_needed(self):
+        """Load pattern: a VM is slow to accept while the retry budget is spent.
+
+        Guards against withdrawing running work that nothing can replace.
+        """
+
+        async def act_as_peer(delegation, nursery):
+            await trio.sleep(ACCEPT_TIMEOUT_S + 0.015)
+            delegation.handle_result(make_result(SHARDS[5:]))
+
+        harness, delegator, outcome = self.run_delegated(act_as_peer, slack=0.0)
+        self.assertIs(RunVerdict.COMPLETE, outcome.verdict)
+        self.assertEqual(5, len(harness.sender.sent))
+        self.assertEqual(["vm-2"], delegator.silent)
+        self.assertEqual([("vm-2", True)], delegator.finished)
+
+    def test_late_report_of_a_vm_that_accepted_is_used(self):
+        """Load pattern: a VM pauses between accepting and reporting; its sends count as two.
+
+        Guards against a failure at the planned seal although the answers come soon after it.
+        """
+
+        async def act_as_peer(delegation, nursery):
+            delegation.accept(HEDGE_IN_S)
+            await trio.sleep(TARGET_S + REPORT_GRACE_S + 0.02)
+            delegation.handle_result(make_result(SHARDS[5:]))
+
+        harness, _, outcome = self.run_delegated(act_as_peer)
+        self.assertIs(RunVerdict.COMPLETE, outcome.verdict)
+        self.assertEqual(5, len(harness.sender.sent))
+
+    def test_awaited_vm_that_turns_out_to_be_lost_ends_the_request(self):
+        """Guards against a request that waits for its deadline once the VM is known to be lost."""
+
+        async def act_as_peer(delegation, nursery):
+            delegation.accept(HEDGE_IN_S)
+            await trio.sleep(TARGET_S + REPORT_GRACE_S + 0.02)
+            delegation.end(DelegationEnd.LOST)
+
+        harness, _, outcome = self.run_delegated(act_as_peer)
+        self.assertIs(RunVerdict.FAILED, outcome.verdict)
+        self.assertTrue(outcome.may_have_run)
+        self.assertLess(harness.took_s, TARGET_S + REPORT_GRACE_S + 0.03)
+
     def test_result_of_a_vm_that_was_treated_as_lost_is_ignored(self):
         """Guards against merging two answers of one shard."""
 
