Hold a delegating VM's connection in one class, and plan hedges in one place

The server of subqueries handed outbox, runs and nursery through four methods, and both kinds of run kept the time of the hedges in their wait loops. Behaviour is unchanged; tests are as they were.

--- a/libs/delegation/src/zinnia_delegation/server.py
+++ b/libs/delegation/src/zinnia_delegation/server.py
@@ -59,71 +59,32 @@
     def __init__(self, handler: SubqueryHandler, capacity: float, events: EventSink) -> None:
         self.is_stopping = False
         self._events = events
-        self._handler = handler
+        self.handler = handler
         self._max_shards = int(MAX_SHARDS_PER_CORE * capacity)
         self._shards = 0
 
     async def serve(self, frames: FrameStream) -> None:
         """Serve one VM until its connection ends; its runs are cancelled with the connection."""
-        outbox = Outbox(frames)
-        runs: dict[int, tuple[SubqueryRun, trio.CancelScope]] = {}
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(outbox.run, nursery.cancel_scope)
+            connection = _CallerVm(self, Outbox(frames), nursery)
+            nursery.start_soon(connection.outbox.run, nursery.cancel_scope)
             try:
                 while True:
-                    call = decode(Call, await frames.receive())
-                    self._handle_call(call, outbox, runs, nursery)
+                    connection.handle_call(decode(Call, await frames.receive()))
             except (FrameError, trio.BrokenResourceError, *DECODE_ERRORS):
                 pass  # The peer has left or uses another protocol; it is expected to reconnect.
             nursery.cancel_scope.cancel()
 
-    def _handle_call(
-        self,
-        call: Call,
-        outbox: Outbox,
-        runs: dict[int, tuple[SubqueryRun, trio.CancelScope]],
-        nursery: trio.Nursery,
-    ) -> None:
-        if call.start is not None:
-            self._start(call.start, outbox, runs, nursery)
-        elif call.end is None:
-            outbox.put(encode(Reply(0, ReplyKind.ALIVE.value)))
-        elif call.end.id in runs:
-            run, scope = runs[call.end.id]
-            run.is_answered = bool(call.end.is_answered)
-            scope.cancel()
-
-    def _start(
-        self,
-        start: SubqueryStart,
-        outbox: Outbox,
-        runs: dict[int, tuple[SubqueryRun, trio.CancelScope]],
-        nursery: trio.Nursery,
-    ) -> None:
-        hold_ms = self._compute_hold_ms(start)
-        if hold_ms:
-            outbox.put(encode(Reply(start.id, ReplyKind.REFUSED.value, hold_ms=hold_ms)))
-            return
-        run = self._handler.make_run(start, partial(_send_result, start, outbox))
-        hedge_in_us = int(run.hedge_in_s * 1e6)
-        outbox.put(encode(Reply(start.id, ReplyKind.ACCEPTED.value, hedge_in_us=hedge_in_us)))
-        scope = trio.CancelScope()
-        runs[start.id] = run, scope
-        nursery.start_soon(self._run, start, outbox, runs)
-
-    def _compute_hold_ms(self, start: SubqueryStart) -> int:
+    def compute_hold_ms(self, start: SubqueryStart) -> int:
         """Return the hold of a refusal in milliseconds, 0 if the subquery can be run."""
         if self.is_stopping:
             return STOPPING_HOLD_MS
         return BUSY_HOLD_MS if self._shards + len(start.services) > self._max_shards else 0
 
-    async def _run(
-        self,
-        start: SubqueryStart,
-        outbox: Outbox,
-        runs: dict[int, tuple[SubqueryRun, trio.CancelScope]],
+    async def run_subquery(
+        self, start: SubqueryStart, run: SubqueryRun, scope: trio.CancelScope, outbox: Outbox
     ) -> None:
-        run, scope = runs[start.id]
+        """Run a subquery until it ends or its scope is cancelled."""
         is_cancelled = True
         self._shards += len(start.services)
         try:
@@ -138,8 +99,46 @@
             self._events.note("internal_error", where="subquery", cause=repr(error))
         finally:
             self._shards -= len(start.services)
-            del runs[start.id]
-            self._handler.note_end(start, run, is_cancelled)
+            self.handler.note_end(start, run, is_cancelled)
+
+
+class _CallerVm:
+    """The connection of one VM that delegates, and the subqueries that run for it."""
+
+    def __init__(self, server: SubqueryServer, outbox: Outbox, nursery: trio.Nursery) -> None:
+        self.outbox = outbox
+        self._server = server
+        self._nursery = nursery
+        self._runs: dict[int, tuple[SubqueryRun, trio.CancelScope]] = {}
+
+    def handle_call(self, call: Call) -> None:
+        """Start or end a subquery, or reply to a ping."""
+        if call.start is not None:
+            self._start(call.start)
+        elif call.end is None:
+            self.outbox.put(encode(Reply(0, ReplyKind.ALIVE.value)))
+        elif call.end.id in self._runs:
+            run, scope = self._runs[call.end.id]
+            run.is_answered = bool(call.end.is_answered)
+            scope.cancel()
+
+    def _start(self, start: SubqueryStart) -> None:
+        hold_ms = self._server.compute_hold_ms(start)
+        if hold_ms:
+            self.outbox.put(encode(Reply(start.id, ReplyKind.REFUSED.value, hold_ms=hold_ms)))
+            return
+        run = self._server.handler.make_run(start, partial(_send_result, start, self.outbox))
+        hedge_in_us = int(run.hedge_in_s * 1e6)
+        self.outbox.put(encode(Reply(start.id, ReplyKind.ACCEPTED.value, hedge_in_us=hedge_in_us)))
+        self._runs[start.id] = run, trio.CancelScope()
+        self._nursery.start_soon(self._run, start)
+
+    async def _run(self, start: SubqueryStart) -> None:
+        run, scope = self._runs[start.id]
+        try:
+            await self._server.run_subquery(start, run, scope, self.outbox)
+        finally:
+            del self._runs[start.id]
 
 
 def _send_result(
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -220,16 +220,12 @@
 
     async def _wait_until_decided(self) -> None:
         """Wait until the request can be answered or has failed, and hedge slow shards."""
-        hedge_at = self._find_hedge_time()
+        self._plan_hedges()
         while not self._is_decided():
             now = trio.current_time()
-            if hedge_at is not None and now >= hedge_at:
-                self._hedge_shards()
-                hedge_at = None
+            if self._hedge_if_due(now) or self._handle_overdue_delegations(now):
                 continue
-            if self._handle_overdue_delegations(now):
-                continue
-            await self._wait_for_decision(self._find_next_time(hedge_at))
+            await self._wait_for_decision(self._find_next_time())
 
     def _handle_overdue_delegations(self, now: float) -> bool:
         """Withdraw or await delegations whose VM did not reply in time; return whether any."""
@@ -277,11 +273,9 @@
             return self._seal_at + REPORT_GRACE_S
         return delegation.written_at + ACCEPT_TIMEOUT_S
 
-    def _find_next_time(self, hedge_at: float | None) -> float:
+    def _find_next_time(self) -> float:
         """Return the earliest time at which the run has to act without a settled shard."""
-        next_at = self._end_at
-        if hedge_at is not None:
-            next_at = min(next_at, hedge_at)
+        next_at = min(self._end_at, self._hedge_at)
         if self._seal_at > trio.current_time():
             next_at = min(next_at, self._seal_at)
         deadlines = [
--- a/libs/sending/src/zinnia_sending/shards.py
+++ b/libs/sending/src/zinnia_sending/shards.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from math import inf
 
 import trio
 
@@ -76,6 +77,7 @@
         self._pending = len(self._shards)
         self._answered = 0
         self._end_at = request.end_at - REQUEST_END_MARGIN_S
+        self._hedge_at = inf
 
     @property
     def request(self) -> RunRequest:
@@ -198,12 +200,19 @@
             await _run_ready_tasks()
         self._wake = trio.Event()
 
-    def _find_hedge_time(self) -> float | None:
-        """Return the time of the hedges, None if the route allows none."""
+    def _plan_hedges(self) -> None:
+        """Set the time of the hedges, if the route allows any."""
         request = self._request
-        if not request.route.is_idempotent or request.route.max_attempts < 2:
-            return None
-        return trio.current_time() + request.latency.hedge_s
+        if request.route.is_idempotent and request.route.max_attempts >= 2:
+            self._hedge_at = trio.current_time() + request.latency.hedge_s
+
+    def _hedge_if_due(self, now: float) -> bool:
+        """Hedge the open shards once the time has come; return whether that was now."""
+        if now < self._hedge_at:
+            return False
+        self._hedge_at = inf
+        self._hedge_shards()
+        return True
 
     def _hedge_shards(self) -> None:
         for shard in self._shards:
--- a/libs/sending/src/zinnia_sending/subqueries.py
+++ b/libs/sending/src/zinnia_sending/subqueries.py
@@ -83,21 +83,17 @@
         return True
 
     async def _wait_until_settled(self) -> None:
-        hedge_at = self._find_hedge_time()
+        self._plan_hedges()
         while self._pending and trio.current_time() < self._end_at:
             now = trio.current_time()
-            if hedge_at is not None and now >= hedge_at:
-                self._hedge_shards()
-                hedge_at = None
+            if self._hedge_if_due(now):
                 continue
             if now >= self._report_at:
                 self._report_settled(False)
-            await self._wait_for_decision(self._find_next_time(hedge_at))
+            await self._wait_for_decision(self._find_next_time())
 
-    def _find_next_time(self, hedge_at: float | None) -> float:
-        next_at = self._end_at
-        if hedge_at is not None:
-            next_at = min(next_at, hedge_at)
+    def _find_next_time(self) -> float:
+        next_at = min(self._end_at, self._hedge_at)
         if self._report_at > trio.current_time():
             next_at = min(next_at, self._report_at)
         return next_at
