--- a/libs/routing/src/zinnia_routing/merge.py
+++ b/libs/routing/src/zinnia_routing/merge.py
@@ -6,6 +6,7 @@
 from zinnia_model.ids import AttemptId, ShardId, SnapshotId
 from zinnia_model.queries import Coverage
 from zinnia_model.reasons import Outcome
+from zinnia_model.shardmaps import ShardMap
 from zinnia_model.subrequests import SubResult
 
 
@@ -71,3 +72,39 @@
         self._sealed = True
         missing = tuple(shard for shard in self._shards if shard not in self._bodies)
         return self._bodies, Coverage(len(self._bodies), len(self._shards), missing)
+
+
+class QueryMerges:
+    """The merges of all plans of one query; the one with the best coverage becomes its answer."""
+
+    def __init__(self) -> None:
+        self._merges: list[ResultMerge] = []
+
+    @property
+    def count(self) -> int:
+        """Number of plans that were started."""
+        return len(self._merges)
+
+    def start(self, snapshot: SnapshotId, shards: Iterable[ShardId]) -> ResultMerge:
+        """Return the merge of a new plan."""
+        merge = ResultMerge(snapshot, shards)
+        self._merges.append(merge)
+        return merge
+
+    def find_untried_map(self, newest: ShardMap | None, is_expired: bool) -> ShardMap | None:
+        """Return a shard map whose snapshot was not used yet, None if there is none.
+
+        It is the newest one, or after the wait for it (``is_expired``) the previous one if the
+        newest is not served yet.
+        """
+        tried = {merge.snapshot for merge in self._merges}
+        shard_map = newest
+        if shard_map is not None and is_expired and shard_map.snapshot in tried:
+            shard_map = shard_map.previous
+        return None if shard_map is None or shard_map.snapshot in tried else shard_map
+
+    def seal(self) -> ResultMerge:
+        """Seal all merges and return the one with the best coverage, the newest on a tie."""
+        for merge in self._merges:
+            merge.seal()
+        return max(reversed(self._merges), key=lambda merge: merge.answered)
--- a/libs/routing/src/zinnia_routing/queries.py
+++ b/libs/routing/src/zinnia_routing/queries.py
@@ -26,7 +26,7 @@
     TARGET_WAIT_S,
     ExecutionContext,
 )
-from zinnia_routing.merge import ResultMerge, Verdict
+from zinnia_routing.merge import QueryMerges, Verdict
 from zinnia_routing.plan import PinnedPlan
 
 HEDGE_RECHECK_S = 0.002  # until a hedge without a free slot or token is tried again
@@ -57,7 +57,7 @@
         self._latency = context.latencies[query.service]
         self._wake = trio.Event()
         self._pinned = pinned
-        self._merges: list[ResultMerge] = []
+        self._merges = QueryMerges()
         self._not_run = 0
         self._has_crashed = False
         self._refusal: Reason | None = None
@@ -76,7 +76,8 @@
                     self._wake = trio.Event()
         finally:
             self._registry.cancel(self._registry.list_open())
-            results, coverage = self._seal()
+            self._merge = self._merges.seal()
+            results, coverage = self._merge.seal()
         return self._build_answer(results, coverage)
 
     def deliver(self, result: SubResult) -> None:
@@ -100,8 +101,7 @@
     def _start(self, pinned: PinnedPlan, now: float) -> None:
         """Send the first attempt of each shard of a plan."""
         self._pinned = pinned
-        merge = self._merge = ResultMerge(pinned.snapshot, pinned.shards)
-        self._merges.append(merge)
+        merge = self._merge = self._merges.start(pinned.snapshot, pinned.shards)
         self._states = [ShardState(shard) for shard in pinned.shards]
         self._remaining = len(self._states)
         self._waiting: list[ShardState] = []
@@ -351,8 +351,9 @@
         expired = now >= self._snapshot_gone_at + SHARD_MAP_WAIT_S
         quantiles = self._latency.quantiles
         time_needed = quantiles.p50 if quantiles else 0.0
-        allowed = len(self._merges) <= MAX_REPLANS and self._seal_at - now > time_needed
-        shard_map = self._find_untried_map(expired) if allowed else None
+        allowed = self._merges.count <= MAX_REPLANS and self._seal_at - now > time_needed
+        newest = self._context.topology.shard_map(self._query.service)
+        shard_map = self._merges.find_untried_map(newest, expired) if allowed else None
         if shard_map is not None:
             self._replan(shard_map, now)
             return
@@ -362,17 +363,6 @@
         for state in gone:
             self._give_up_shard(state, Reason.SNAPSHOT_GONE, now)
 
-    def _find_untried_map(self, expired: bool) -> ShardMap | None:
-        """Return a shard map whose snapshot was not used yet, None if there is none.
-
-        It is the newest one, or after the wait the previous one if the newest is not served yet.
-        """
-        tried = {merge.snapshot for merge in self._merges}
-        shard_map = self._context.topology.shard_map(self._query.service)
-        if shard_map is not None and expired and shard_map.snapshot in tried:
-            shard_map = shard_map.previous
-        return None if shard_map is None or shard_map.snapshot in tried else shard_map
-
     def _replan(self, shard_map: ShardMap, now: float) -> None:
         self._context.counters.count_retry(Reason.SNAPSHOT_GONE)
         self._trace_event(now, "replan", shard_map.snapshot)
@@ -382,14 +372,6 @@
         planner.refresh(self._pinned, now)
         self._start(planner.pin_map(self._pinned, shard_map, self._query.shard, now), now)
 
-    def _seal(self) -> tuple[dict[ShardId, bytes], Coverage]:
-        """Seal all plans and return the results with the best coverage, the newest on a tie."""
-        best = max(reversed(self._merges), key=lambda merge: merge.answered)
-        self._merge = best
-        for merge in self._merges:
-            merge.seal()
-        return best.seal()
-
     def _build_answer(self, results: dict[ShardId, bytes], coverage: Coverage) -> Answer:
         if results:
             detail = f"{coverage.answered}/{coverage.asked}"
