Choose the data centre of a suspended replica last

Cause: the group of a shard could go to the data centre of a replica that this VM knows to fail, since its score does not contain the suspension. Result: the new test failed first and passes now.

--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -184,8 +184,8 @@
     def choose_data_centre(self, service: ServiceName, now: float) -> DataCentreId | None:
         """Return the data centre whose replicas should answer a shard, None without a replica.
 
-        This VM's data centre comes first, then that of the replica with the lowest score. Replicas
-        that are only busy or suspended count, because VMs differ in what they may send.
+        This VM's data centre comes first, then that of the replica with the lowest score. Busy
+        replicas count, because VMs differ in what they may send; suspended ones come last.
         """
         excluded_version = self.versions.find_excluded_version(service)
         lasting = [
@@ -197,7 +197,7 @@
             return None
         if any(replica.entry.data_centre == self._data_centre for replica in lasting):
             return self._data_centre
-        best = min(lasting, key=lambda replica: self._score(replica, now))
+        best = min(lasting, key=lambda replica: self._rank(replica, now))
         return best.entry.data_centre
 
     def _find_obstacle(
@@ -286,6 +286,11 @@
         for replica in self._replicas.values():
             replica.pool.discard_expired(now)
 
+    def _rank(self, replica: Replica, now: float) -> tuple[bool, float]:
+        """Return the sort key of a replica among those that may be busy or suspended."""
+        is_suspended = replica.health.get_condition(now) is Condition.SUSPENDED
+        return is_suspended, self._score(replica, now)
+
     def _score(self, replica: Replica, now: float) -> float:
         """Return the expected latency relative to the typical latency; the lowest score is best."""
         health = replica.health
--- a/libs/sending/tests/test_fleet.py
+++ b/libs/sending/tests/test_fleet.py
@@ -28,6 +28,51 @@
         fleet = self.call_in_trio(lambda: make_fleet(*entries))
         self.assertEqual({"near"}, set(self.count_choices(fleet)))
 
+    def choose_data_centre(self, *entries, prepare=lambda fleet: None, count=100):
+        """Return the data centres that are chosen for a shard with these replicas."""
+
+        def choose():
+            fleet = make_fleet(*entries)
+            prepare(fleet)
+            return {fleet.choose_data_centre("s", trio.current_time()) for _ in range(count)}
+
+        return self.call_in_trio(choose)
+
+    def test_shard_with_a_local_replica_stays_in_this_data_centre(self):
+        """Load pattern: five data centres, two replicas a shard. Guards against needless hops."""
+        found = self.choose_data_centre(make_entry("a"), make_entry("b", data_centre="dc2"))
+        self.assertEqual({"dc1"}, found)
+
+    def test_shard_without_a_local_replica_is_spread_over_its_data_centres(self):
+        """Load pattern: as above. Guards against one of two replicas that gets all requests."""
+        entries = [make_entry(name, data_centre=name) for name in ("dc2", "dc3")]
+        self.assertEqual({"dc2", "dc3"}, self.choose_data_centre(*entries))
+
+    def test_shard_goes_to_no_data_centre_without_a_usable_replica(self):
+        """Load pattern: a data centre is evacuated while replicas of another one drain."""
+        entries = (
+            make_entry("a", data_centre="dc2"),
+            make_entry("b", data_centre="dc3", is_draining=True),
+            make_entry("c", data_centre="dc4"),
+        )
+        found = self.choose_data_centre(
+            *entries, prepare=lambda fleet: fleet.change_data_centre("dc2", True)
+        )
+        self.assertEqual({"dc4"}, found)
+        self.assertEqual({None}, self.choose_data_centre(entries[1]))
+
+    def test_shard_avoids_the_data_centre_of_a_suspended_replica(self):
+        """Load pattern: replicas of many shards hang or crash.
+
+        Guards against a VM that is asked for shards whose replicas there are known to fail.
+        """
+        entries = [make_entry(name, data_centre=name) for name in ("dc2", "dc3")]
+
+        def suspend(fleet):
+            suspend_replica(fleet.get_replica("dc2").health, trio.current_time())
+
+        self.assertEqual({"dc3"}, self.choose_data_centre(*entries, prepare=suspend))
+
     def test_busy_replica_is_not_chosen(self):
         """Load pattern: a burst of requests to one replica."""
         entries = (make_entry("a"), make_entry("b"))
