--- a/libs/sending/tests/test_runs.py
+++ b/libs/sending/tests/test_runs.py
@@ -219,6 +219,18 @@
         self.assertIs(RunVerdict.FAILED, outcome.verdict)
         self.assertTrue(outcome.may_have_run)
 
+    def test_lost_answer_of_any_kind_may_have_run(self):
+        """Guards against a refusal as not run after an answer was lost on its way."""
+        for result in ExchangeResult:
+            if not result.may_have_run or result is ExchangeResult.ANSWERED:
+                continue
+            with self.subTest(result):
+                script = {name: [(0.01, make_unanswered(result))] for name in "ab"}
+                harness, outcome = self.run_single(script, idempotent=False)
+                self.assertEqual(1, len(harness.sender.sent))
+                self.assertTrue(outcome.may_have_run)
+                self.assertIn(outcome.verdict, (RunVerdict.FAILED, RunVerdict.EXPIRED))
+
     def test_request_that_was_not_run_is_retried_even_if_not_idempotent(self):
         """Guards against refusing a request although another replica has capacity."""
         script = {name: [(0.01, make_unanswered(ExchangeResult.NOT_RUN))] for name in "ab"}
