Stop listening within 0.4 s although connections keep arriving

Cause: the server accepted until none had arrived for 50 ms. While the load balancer uses all VMs of a data centre, connections keep arriving, so a drain could go on until the end of the grace period and cut requests. Read in the diff, then shown by a test that failed first (no end within 5 s).

Change: a limit of 0.4 s on the last accepts. Result: the test passes.

--- a/libs/entry/src/zinnia_entry/server.py
+++ b/libs/entry/src/zinnia_entry/server.py
@@ -24,6 +24,8 @@
 TCP_USER_TIMEOUT_MS = 10000
 # Before it stops listening, the server accepts connections until none has arrived for this time.
 LAST_ACCEPT_WAIT_S = 0.05
+# It stops listening after this time even if connections keep arriving.
+LAST_ACCEPT_TIMEOUT_S = 0.4
 # An idle connection is closed this long after the server stops, or after it was accepted, whichever
 # is later. A request that has reached this VM by then is answered.
 LAST_REQUEST_WAIT_S = 0.1
@@ -105,11 +107,12 @@
 
     async def _accept_last(self, listener: trio.socket.SocketType, nursery: trio.Nursery) -> None:
         """Accept the connections that the kernel has established for this process."""
-        has_accepted = True
-        while has_accepted:
+        latest = trio.current_time() + LAST_ACCEPT_TIMEOUT_S
+        while trio.current_time() < latest:
             with trio.move_on_after(LAST_ACCEPT_WAIT_S) as scope:
                 await self._accept(listener, nursery)
-            has_accepted = not scope.cancelled_caught
+            if scope.cancelled_caught:
+                return
 
     def close_idle(self) -> None:
         """Stop listening and close idle connections; the others close after their reply."""
--- a/libs/entry/tests/test_server.py
+++ b/libs/entry/tests/test_server.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import unittest
 
@@ -18,6 +19,8 @@
 
 # More than the limits, the receive buffer and what the kernel buffers.
 MAX_ENDLESS_BYTES = 32 * 1024 * 1024
+# Leaves most of the grace period, of which a drain spends three seconds before it stops listening.
+MAX_STOP_S = 1.0
 
 
 class Handler(RequestHandler):
@@ -280,6 +283,34 @@
 
         self.check_answered_at_close(send)
 
+    def test_server_stops_listening_although_connections_keep_arriving(self):
+        """Load pattern: a planned stop while the load balancer uses all VMs of a data centre.
+
+        Guards against a drain that goes on until the process is killed with requests in progress.
+        """
+
+        async def check(handler, server, port):
+            server.close_idle()
+            stopped_at = trio.current_time()
+            with self.assertRaises(OSError):
+                while True:
+                    stream = await trio.open_tcp_stream(HOST, port)
+                    nursery.start_soon(self.read_and_close, stream)
+                    await trio.sleep(0.01)
+            self.assertLess(trio.current_time() - stopped_at, MAX_STOP_S)
+
+        async def run(handler, server, port):
+            nonlocal nursery
+            async with trio.open_nursery() as nursery:
+                await check(handler, server, port)
+
+        nursery = None
+        self.run_server(run)
+
+    async def read_and_close(self, stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self.read_all(stream)
+
     def test_requests_that_were_read_together_are_all_answered_while_draining(self):
         """Load pattern: a planned stop under load, with requests in a pipeline.
 
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -188,16 +188,16 @@
         replicas count, because VMs differ in what they may send; suspended ones come last.
         """
         excluded_version = self.versions.find_excluded_version(service)
-        lasting = [
+        candidates = [
             replica
             for replica in self._services.get(service, ())
             if self._find_lasting_obstacle(replica, excluded_version) is None
         ]
-        if not lasting:
+        if not candidates:
             return None
-        if any(replica.entry.data_centre == self._data_centre for replica in lasting):
+        if any(replica.entry.data_centre == self._data_centre for replica in candidates):
             return self._data_centre
-        best = min(lasting, key=lambda replica: self._rank(replica, now))
+        best = min(candidates, key=lambda replica: self._rank(replica, now))
         return best.entry.data_centre
 
     def _find_obstacle(
