Log the sends that are counted for a lost VM, and those that it has made

Cause: the lines of a request did not say how many sends a VM counts for the open shards of a lost or silent one, nor the other VM's total, so that a wrong count showed only by reading single sends of two logs. Change: request_delegation_ended gets counted_sends and accepted, subquery_finished gets sends. No decision changes.

--- a/libs/entry/src/zinnia_entry/logs.py
+++ b/libs/entry/src/zinnia_entry/logs.py
@@ -159,7 +159,8 @@
 class RequestRecord:
     """A finished request or subquery, with the configuration and replica count known at its end.
 
-    ``delegated_by`` is the VM that delegated a subquery, None for a request of a caller.
+    ``delegated_by`` is the VM that delegated a subquery, and ``sends`` the number of its sends to
+    replicas; both are None for a request of a caller.
     """
 
     request_id: bytes
@@ -174,6 +175,7 @@
     configuration: int | None
     replicas_known: int
     delegated_by: str | None = None
+    sends: int | None = None
 
     @property
     def is_unusual(self) -> bool:
@@ -223,7 +225,9 @@
         for step in record.trace:
             at_ms = round(step.offset_s * 1000, 1)
             write(f"{subject}_{step.event}", request=request_id, at_ms=at_ms, **step.fields)
-        origin = {} if record.delegated_by is None else {"delegated_by": record.delegated_by}
+        subquery_fields = {}
+        if record.delegated_by is not None:
+            subquery_fields = {"delegated_by": record.delegated_by, "sends": record.sends}
         write(
             f"{subject}_finished",
             request=request_id,
@@ -236,7 +240,7 @@
             deadline_s=record.deadline_s,
             configuration=record.configuration,
             replicas_known=record.replicas_known,
-            **origin,
+            **subquery_fields,
         )
 
 
--- a/libs/entry/src/zinnia_entry/subqueries.py
+++ b/libs/entry/src/zinnia_entry/subqueries.py
@@ -99,6 +99,7 @@
                 configuration=configuration.version if configuration else None,
                 replicas_known=len(self._catalog.replicas),
                 delegated_by=start.vm,
+                sends=run.sends,
             )
         )
 
--- a/libs/entry/tests/test_logs.py
+++ b/libs/entry/tests/test_logs.py
@@ -12,7 +12,7 @@
     RequestRecord,
     is_sampled,
 )
-from zinnia_entry.reasons import RefusalReason, RequestOutcome
+from zinnia_entry.reasons import RefusalReason, RequestOutcome, SubqueryOutcome
 from zinnia_sending.shards import TraceStep
 
 
@@ -91,6 +91,16 @@
         self.log.note("store_lost")
         self.assertEqual("store_lost", self.read_lines()[-1]["event"])
 
+    def test_cancelled_subquery_is_logged_with_its_sends(self):
+        """Guards against a lost VM whose sends can't be compared with those counted for it."""
+        requests = RequestLog(self.log)
+        requests.put(make_record(SubqueryOutcome.CANCELLED, b"abc", delegated_by="vm-2", sends=3))
+        requests._write(requests._queue.popleft())
+        line = self.read_lines()[0]
+        self.assertEqual(
+            ("subquery_finished", "vm-2", 3), (line["event"], line["delegated_by"], line["sends"])
+        )
+
     def test_failed_request_is_logged_with_each_step(self):
         """Guards against a failed request whose cause is not logged."""
         requests = RequestLog(self.log)
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -143,13 +143,15 @@
         if self._is_sealed:
             return
         open_shards = [shard for shard in delegation.shards.values() if not shard.is_settled]
+        sends = delegation.count_sends(end, trio.current_time())
         self._note(
             "delegation_ended",
             peer=delegation.assignment.vm,
             cause=end.value,
+            accepted=delegation.is_accepted,
             open_shards=len(open_shards),
+            counted_sends=sends * len(open_shards),
         )
-        sends = delegation.count_sends(end, trio.current_time())
         for shard in open_shards:
             shard.sends = sends
             self._run_locally(shard)
--- a/libs/sending/src/zinnia_sending/subqueries.py
+++ b/libs/sending/src/zinnia_sending/subqueries.py
@@ -61,6 +61,11 @@
         """Number of shards without an answer."""
         return len(self._shards) - self._answered
 
+    @property
+    def sends(self) -> int:
+        """Number of attempts that may have reached a replica."""
+        return sum(shard.sends for shard in self._shards)
+
     async def run(self) -> bool:
         """Run the shards; return False if nothing was sent as too few have a usable replica."""
         try:
