Let the delegating VM permit each send beyond the first of a shard

Callers saw nothing; replicas got requests that their operator had limited: with MaxAttempts 2, three replicas of a shard ran one request.

Cause: the attempts of a shard were used by two VMs and counted by neither. A VM that ran shards for another one hedged and retried on its own; the delegating VM, once that VM was lost, silent or slow to accept, guessed its sends from the time (one before the hedges, two after) and sent the rest itself. The guess was too low after a retry that came before the hedges, for an acceptance that was read late or never, and for a VM that was cut off and did not learn that it had been given up. Class of fault: a shared allowance that is reclaimed on an estimate of what another process has used.

Change: another VM may send each shard once. It asks before each further send, all shards of one moment in one message, and the delegating VM counts what it permits. However a delegation ends, the count is an upper bound, so nothing is sent beyond the route's attempts, whatever is lost, late or cut off. A delegation that has ended gets no permission. The protocol between VMs gets another id; VMs of both versions send their own fan-outs meanwhile.

--- a/libs/delegation/src/zinnia_delegation/links.py
+++ b/libs/delegation/src/zinnia_delegation/links.py
@@ -11,6 +11,7 @@
     Call,
     Reply,
     ReplyKind,
+    SendPermission,
     SubqueryEnd,
     SubqueryStart,
 )
@@ -204,7 +205,9 @@
         if delegation is None:
             return  # A reply to a ping, or the request has already ended.
         if reply.kind == ReplyKind.ACCEPTED.value:
-            delegation.accept(reply.hedge_in_us / 1e6)
+            delegation.accept()
+        elif reply.kind == ReplyKind.PERMISSION_WANTED.value:
+            self._permit_sends(delegation, reply)
         elif reply.kind == ReplyKind.REFUSED.value:
             del self._delegations[reply.id]
             self._refused_until = trio.current_time() + reply.hold_ms / 1000
@@ -215,6 +218,14 @@
             delegation.handle_result(_make_result(delegation, reply))
             delegation.is_over = delegation.is_over or reply.is_last
 
+    def _permit_sends(self, delegation: Delegation, reply: Reply) -> None:
+        """Permit the sends that a VM wants; one that gets no permission doesn't send."""
+        services = delegation.assignment.services
+        indexes = {services[index]: index for index in reply.shards}
+        permitted = [indexes[service] for service in delegation.permit_sends(list(indexes))]
+        if permitted:
+            self._outbox.put(encode(Call(permission=SendPermission(reply.id, permitted))))
+
 
 def _make_result(delegation: Delegation, reply: Reply) -> PartialResult:
     services = delegation.assignment.services
--- a/libs/delegation/src/zinnia_delegation/messages.py
+++ b/libs/delegation/src/zinnia_delegation/messages.py
@@ -6,7 +6,7 @@
 from thrift.Thrift import TType
 
 # First frame of a connection, which selects the delegation protocol on the peer address.
-DELEGATION_PROTOCOL_ID = b"zinnia subqueries 1"
+DELEGATION_PROTOCOL_ID = b"zinnia subqueries 2"
 
 
 class ReplyKind(Enum):
@@ -16,6 +16,7 @@
     REFUSED = 2  # nothing was sent to replicas, and nothing will be
     RESULT = 3
     ALIVE = 4
+    PERMISSION_WANTED = 5  # each of the shards is to be sent once more
 
 
 class SubqueryStart(TBase):
@@ -83,26 +84,46 @@
         self.is_answered = is_answered
 
 
+class SendPermission(TBase):
+    """Permits one more send for each of these shards, indexes into ``services`` of the start."""
+
+    thrift_spec = (
+        None,
+        (1, TType.I64, "id", None, None),
+        (2, TType.LIST, "shards", (TType.I32, None, False), None),
+    )
+
+    def __init__(self, id: int = 0, shards: list[int] | None = None) -> None:  # noqa: A002
+        self.id = id
+        self.shards = shards or []
+
+
 class Call(TBase):
-    """One frame to the VM that runs subqueries: a start, an end, or a ping if it has neither."""
+    """One frame to the VM that runs subqueries; a ping if it has no field."""
 
     thrift_spec = (
         None,
         (1, TType.STRUCT, "start", [SubqueryStart, SubqueryStart.thrift_spec], None),
         (2, TType.STRUCT, "end", [SubqueryEnd, SubqueryEnd.thrift_spec], None),
+        (3, TType.STRUCT, "permission", [SendPermission, SendPermission.thrift_spec], None),
     )
 
-    def __init__(self, start: SubqueryStart | None = None, end: SubqueryEnd | None = None) -> None:
+    def __init__(
+        self,
+        start: SubqueryStart | None = None,
+        end: SubqueryEnd | None = None,
+        permission: SendPermission | None = None,
+    ) -> None:
         self.start = start
         self.end = end
+        self.permission = permission
 
 
 class Reply(TBase):
     """One frame to the VM that delegates. ``kind`` is the value of a ``ReplyKind``.
 
     ``shards`` and ``failed`` are indexes into the ``services`` of the start. After a refusal, no
-    delegations are to be sent for ``hold_ms``. After an acceptance, the sender hedges slow shards
-    in ``hedge_in_us``.
+    delegations are to be sent for ``hold_ms``.
     """
 
     thrift_spec = (
@@ -116,7 +137,6 @@
         (7, TType.LIST, "failed_sends", (TType.I32, None, False), None),
         (8, TType.BOOL, "is_last", None, None),
         (9, TType.I32, "hold_ms", None, None),
-        (10, TType.I64, "hedge_in_us", None, None),
     )
 
     def __init__(
@@ -130,7 +150,6 @@
         failed_sends: list[int] | None = None,
         is_last: bool = False,
         hold_ms: int = 0,
-        hedge_in_us: int = 0,
     ) -> None:
         self.id = id
         self.kind = kind
@@ -141,4 +160,3 @@
         self.failed_sends = failed_sends or []
         self.is_last = is_last
         self.hold_ms = hold_ms
-        self.hedge_in_us = hedge_in_us
--- a/libs/delegation/src/zinnia_delegation/server.py
+++ b/libs/delegation/src/zinnia_delegation/server.py
@@ -1,18 +1,26 @@
 """Server that runs parts of fan-outs for other VMs."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
-from functools import partial
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 import trio
 
-from zinnia_delegation.messages import Call, Reply, ReplyKind, SubqueryStart
+from zinnia_catalog.ids import ServiceName
+from zinnia_delegation.messages import (
+    Call,
+    Reply,
+    ReplyKind,
+    SendPermission,
+    SubqueryEnd,
+    SubqueryStart,
+)
 from zinnia_delegation.outbox import Outbox
 from zinnia_relay.frames import FrameError, FrameStream
 from zinnia_relay.messages import DECODE_ERRORS, decode, encode
 from zinnia_sending.delegation import PartialResult
 from zinnia_sending.events import EventSink
-from zinnia_sending.subqueries import SubqueryRun
+from zinnia_sending.subqueries import SubqueryReporter, SubqueryRun
 
 # Limit on the shards in progress for other VMs, per CPU core.
 MAX_SHARDS_PER_CORE = 400
@@ -25,12 +33,8 @@
     """Creates the subquery runs for other VMs, and records how they end."""
 
     @abstractmethod
-    def make_run(
-        self, start: SubqueryStart, report: Callable[[PartialResult, bool], None]
-    ) -> SubqueryRun:
-        """Return the run for a start message; it passes results to ``report``.
-
-        The second argument of ``report`` says whether the result is the last one.
+    def make_run(self, start: SubqueryStart, reporter: SubqueryReporter) -> SubqueryRun:
+        """Return the run for a start message; it passes results to ``reporter``.
 
         Raises
         ------
@@ -71,7 +75,7 @@
             try:
                 while True:
                     connection.handle_call(decode(Call, await frames.receive()))
-            except (FrameError, trio.BrokenResourceError, *DECODE_ERRORS):
+            except (FrameError, trio.BrokenResourceError, IndexError, *DECODE_ERRORS):
                 pass  # The peer has left or uses another protocol; it is expected to reconnect.
             nursery.cancel_scope.cancel()
 
@@ -109,50 +113,82 @@
         self.outbox = outbox
         self._server = server
         self._nursery = nursery
-        self._runs: dict[int, tuple[SubqueryRun, trio.CancelScope]] = {}
+        self._runs: dict[int, _ActiveRun] = {}
 
     def handle_call(self, call: Call) -> None:
         """Start or end a subquery, or reply to a ping."""
         if call.start is not None:
             self._start(call.start)
-        elif call.end is None:
+        elif call.end is not None:
+            self._end(call.end)
+        elif call.permission is not None:
+            self._permit_sends(call.permission)
+        else:
             self.outbox.put(encode(Reply(0, ReplyKind.ALIVE.value)))
-        elif call.end.id in self._runs:
-            run, scope = self._runs[call.end.id]
-            run.is_answered = bool(call.end.is_answered)
-            scope.cancel()
 
     def _start(self, start: SubqueryStart) -> None:
         hold_ms = self._server.compute_hold_ms(start)
         if hold_ms:
             self.outbox.put(encode(Reply(start.id, ReplyKind.REFUSED.value, hold_ms=hold_ms)))
             return
-        run = self._server.handler.make_run(start, partial(_send_result, start, self.outbox))
-        hedge_in_us = int(run.hedge_in_s * 1e6)
-        self.outbox.put(encode(Reply(start.id, ReplyKind.ACCEPTED.value, hedge_in_us=hedge_in_us)))
-        self._runs[start.id] = run, trio.CancelScope()
+        run = self._server.handler.make_run(start, _OutboxReporter(start, self.outbox))
+        self.outbox.put(encode(Reply(start.id, ReplyKind.ACCEPTED.value)))
+        self._runs[start.id] = _ActiveRun(start, run, trio.CancelScope())
         self._nursery.start_soon(self._run, start)
 
+    def _end(self, end: SubqueryEnd) -> None:
+        active = self._runs.get(end.id)
+        if active is not None:
+            active.run.is_answered = bool(end.is_answered)
+            active.scope.cancel()
+
+    def _permit_sends(self, permission: SendPermission) -> None:
+        active = self._runs.get(permission.id)
+        if active is not None:
+            services = active.start.services
+            active.run.permit_sends([services[index] for index in permission.shards])
+
     async def _run(self, start: SubqueryStart) -> None:
-        run, scope = self._runs[start.id]
+        active = self._runs[start.id]
         try:
-            await self._server.run_subquery(start, run, scope, self.outbox)
+            await self._server.run_subquery(start, active.run, active.scope, self.outbox)
         finally:
             del self._runs[start.id]
 
 
-def _send_result(
-    start: SubqueryStart, outbox: Outbox, result: PartialResult, is_last: bool
-) -> None:
-    indexes = {service: index for index, service in enumerate(start.services)}
-    reply = Reply(
-        start.id,
-        ReplyKind.RESULT.value,
-        [indexes[service] for service, _ in result.signatures],
-        [signature for _, signature in result.signatures],
-        result.records,
-        [indexes[failure.service] for failure in result.failures],
-        [failure.sends for failure in result.failures],
-        is_last,
-    )
-    outbox.put(encode(reply))
+@dataclass(frozen=True, slots=True)
+class _ActiveRun:
+    """A subquery that is running, and the scope that cancels it."""
+
+    start: SubqueryStart
+    run: SubqueryRun
+    scope: trio.CancelScope
+
+
+class _OutboxReporter(SubqueryReporter):
+    """Writes the messages about one subquery to the connection of the VM that delegated it."""
+
+    def __init__(self, start: SubqueryStart, outbox: Outbox) -> None:
+        self._id = start.id
+        self._indexes = {service: index for index, service in enumerate(start.services)}
+        self._outbox = outbox
+
+    def report(self, result: PartialResult, is_last: bool) -> None:
+        """Send a partial result."""
+        indexes = self._indexes
+        reply = Reply(
+            self._id,
+            ReplyKind.RESULT.value,
+            [indexes[service] for service, _ in result.signatures],
+            [signature for _, signature in result.signatures],
+            result.records,
+            [indexes[failure.service] for failure in result.failures],
+            [failure.sends for failure in result.failures],
+            is_last,
+        )
+        self._outbox.put(encode(reply))
+
+    def ask_permission(self, services: Sequence[ServiceName]) -> None:
+        """Ask whether each of these shards may be sent once more."""
+        indexes = [self._indexes[service] for service in services]
+        self._outbox.put(encode(Reply(self._id, ReplyKind.PERMISSION_WANTED.value, indexes)))
--- a/libs/delegation/tests/fakes.py
+++ b/libs/delegation/tests/fakes.py
@@ -147,7 +147,7 @@
     def __init__(self, vm):
         self._vm = vm
 
-    def make_run(self, start, report):
+    def make_run(self, start, reporter):
         """Return a run of the shards in the message."""
         now = trio.current_time()
         request = self._vm.make_request(
@@ -160,7 +160,7 @@
             self._vm.sender,
             now + start.report_in_us / 1e6,
             start.max_absent,
-            report,
+            reporter,
         )
 
     def note_end(self, start, run, is_cancelled):
--- a/libs/delegation/tests/test_links.py
+++ b/libs/delegation/tests/test_links.py
@@ -2,6 +2,7 @@
 
 import trio
 import trio.testing
+from fakes import FakePreparedRequest
 
 from zinnia_catalog.members import Member
 from zinnia_catalog.routes import Repeatability, Route
@@ -22,30 +23,23 @@
     ShardFailure,
 )
 from zinnia_sending.events import NullSink
-from zinnia_sending.protocol import PreparedRequest
 
 SERVICES = ("s0", "s1", "s2")
 
 
-class FakePreparedRequest(PreparedRequest):
-    request_id = b"id"
-    is_head = False
-
-    def render(self, replica, remaining_s):
-        return b""
-
-    def pack(self):
-        return b"packed \xff bytes"
-
-
 class RecordingListener(DelegationListener):
     def __init__(self):
         self.results = []
         self.ends = []
+        self.wanted = []
 
     def handle_result(self, delegation, result):
         self.results.append(result)
 
+    def permit_sends(self, delegation, services):
+        self.wanted.append(services)
+        return services[:1]
+
     def handle_delegation_end(self, delegation, end):
         self.ends.append(end)
 
@@ -56,15 +50,18 @@
     An empty list waits forever; None refuses the run.
     """
 
-    def __init__(self, start, report, results):
+    def __init__(self, start, reporter, results):
         self.start = start
         self.is_answered = False
-        self.hedge_in_s = 0.02
-        self._report = report
+        self.permitted = []
+        self.reporter = reporter
         self._results = results
         self.was_cancelled = False
         self.is_started = False
 
+    def permit_sends(self, services):
+        self.permitted.append(services)
+
     async def run(self):
         self.is_started = True
         if self._results is None:
@@ -72,7 +69,7 @@
         try:
             for delay_s, result, is_last in self._results:
                 await trio.sleep(delay_s)
-                self._report(result, is_last)
+                self.reporter.report(result, is_last)
             if not self._results:
                 await trio.sleep_forever()
         except trio.Cancelled:
@@ -87,8 +84,8 @@
         self.runs = []
         self.ends = []
 
-    def make_run(self, start, report):
-        run = ScriptedRun(start, report, self.results)
+    def make_run(self, start, reporter):
+        run = ScriptedRun(start, reporter, self.results)
         self.runs.append(run)
         return run
 
@@ -199,7 +196,39 @@
             link.start(delegation)
             await trio.sleep(0.001)
             self.assertTrue(delegation.is_accepted)
-            self.assertAlmostEqual(trio.current_time() + 0.02, delegation.hedge_at, delta=0.002)
+
+        self.run_link(test)
+
+    def test_vm_learns_which_sends_are_permitted(self):
+        """Guards against permissions for other shards than those that were asked for."""
+
+        async def test(link, handler, server, streams):
+            listener = RecordingListener()
+            delegation = make_delegation(listener)
+            link.start(delegation)
+            await trio.sleep(0.01)
+            run = handler.runs[0]
+            run.reporter.ask_permission(["s2", "s1"])
+            await trio.sleep(0.01)
+            self.assertEqual(([["s2", "s1"]], [["s2"]]), (listener.wanted, run.permitted))
+            delegation.end(DelegationEnd.SILENT)
+            run.reporter.ask_permission(["s0"])
+            await trio.sleep(0.01)
+            self.assertEqual(([["s2", "s1"]], [["s2"]]), (listener.wanted, run.permitted))
+
+        self.run_link(test)
+
+    def test_permission_for_a_run_that_has_ended_is_ignored(self):
+        """Guards against a connection that breaks off because a permission comes late."""
+
+        async def test(link, handler, server, streams):
+            link.start(make_delegation(RecordingListener()))
+            await trio.sleep(0.01)
+            handler.runs[0].reporter.ask_permission(["s0"])
+            handler.results = [(0.0, PartialResult((), b""), True)]
+            link.finish(next(iter(link._delegations.values())), False)
+            await trio.sleep(0.01)
+            self.assertTrue(link.is_usable)
 
         self.run_link(test)
 
--- a/libs/entry/src/zinnia_entry/subqueries.py
+++ b/libs/entry/src/zinnia_entry/subqueries.py
@@ -3,8 +3,6 @@
 They use this VM's view of the replicas, its retry budget and its measured latencies.
 """
 
-from collections.abc import Callable
-
 import trio
 
 from zinnia_catalog.catalog import Catalog
@@ -18,10 +16,9 @@
 from zinnia_entry.routestates import RouteStates
 from zinnia_sending.attempts import AttemptSender, RunRequest
 from zinnia_sending.budgets import RetryBudget
-from zinnia_sending.delegation import PartialResult
 from zinnia_sending.fleet import Fleet
 from zinnia_sending.protocol import ReplicaProtocol
-from zinnia_sending.subqueries import SubqueryRun
+from zinnia_sending.subqueries import SubqueryReporter, SubqueryRun
 
 
 class TierSubqueryHandler(SubqueryHandler):
@@ -47,10 +44,8 @@
         self._metrics = metrics
         self._log = log
 
-    def make_run(
-        self, start: SubqueryStart, report: Callable[[PartialResult, bool], None]
-    ) -> SubqueryRun:
-        """Return the run for a start message; it passes its results to ``report``."""
+    def make_run(self, start: SubqueryStart, reporter: SubqueryReporter) -> SubqueryRun:
+        """Return the run for a start message; it passes its results to ``reporter``."""
         now = trio.current_time()
         route = _make_route(start)
         prepared = self._protocol.unpack(start.request)
@@ -72,7 +67,7 @@
             self._sender,
             request.target_at,
             start.max_absent,
-            report,
+            reporter,
         )
 
     def note_end(self, start: SubqueryStart, run: SubqueryRun, is_cancelled: bool) -> None:
--- a/libs/sending/src/zinnia_sending/attempts.py
+++ b/libs/sending/src/zinnia_sending/attempts.py
@@ -50,6 +50,14 @@
     seal_lag_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class WantedSend:
+    """A hedge or retry that waits for permission; ``may_repeat`` as for ``ShardRun``."""
+
+    reason: SendReason
+    may_repeat: bool
+
+
 @dataclass(slots=True)
 class ShardProgress:
     """State of one shard of a request.
@@ -57,7 +65,11 @@
     ``tried`` lists the ids of the replicas that got an attempt, and ``in_flight`` the attempts that
     have not ended. ``sends`` counts the attempts that may have reached a replica; ``may_have_run``
     is set once one of them may have run. The shard is settled when it has an answer or gets no more
-    attempts. ``is_delegated`` is set while another VM sends requests for it.
+    attempts.
+
+    ``is_delegated`` is set while another VM sends requests for it; ``sends`` is then the number
+    that this VM has permitted. That VM counts the permitted sends in ``permitted_sends``, and
+    ``wanted`` is the send for which it has asked.
     """
 
     service: ServiceName
@@ -70,6 +82,8 @@
     may_have_run: bool = False
     is_hedged: bool = False
     is_delegated: bool = False
+    permitted_sends: int = 1
+    wanted: WantedSend | None = None
 
 
 @dataclass(slots=True, eq=False)
--- a/libs/sending/src/zinnia_sending/budgets.py
+++ b/libs/sending/src/zinnia_sending/budgets.py
@@ -89,9 +89,13 @@
         """
         if not self.allows_send(service, now, reserve):
             return False
-        self._windows[service].extra_sends.append(now)
+        self.spend(service, now)
         return True
 
+    def spend(self, service: ServiceName, now: float) -> None:
+        """Count an extra send that the budget allows."""
+        self._advance(service, now).extra_sends.append(now)
+
     def allows_send(self, service: ServiceName, now: float, reserve: float = 0.0) -> bool:
         """Return whether the budget allows an extra send; parameters as for ``try_spend``."""
         window = self._advance(service, now)
--- a/libs/sending/src/zinnia_sending/delegation.py
+++ b/libs/sending/src/zinnia_sending/delegation.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
-from math import inf
 from typing import TYPE_CHECKING
 
 import trio
@@ -73,6 +72,12 @@
     def handle_result(self, delegation: Delegation, result: PartialResult) -> None:
         """Handle a partial result; more may follow for shards that have not answered yet."""
 
+    @abstractmethod
+    def permit_sends(
+        self, delegation: Delegation, services: Sequence[ServiceName]
+    ) -> list[ServiceName]:
+        """Permit one more send for each of these shards; return those for which it is permitted."""
+
     @abstractmethod
     def handle_delegation_end(self, delegation: Delegation, end: DelegationEnd) -> None:
         """Handle the failure of a delegation; the other VM reports nothing more."""
@@ -82,11 +87,14 @@
 class Delegation:
     """An assignment that another VM is running; times are monotonic seconds.
 
+    The other VM may send the request once for each shard, and asks before each further send. So the
+    sends that this VM has permitted bound those that were made, however the delegation ends.
+
     ``written_at`` is when this VM wrote the message, which is later than the start of the
     delegation if this VM is busy. ``report_at`` is when the other VM reports the answers that it
-    has, and ``hedge_at`` when it sends hedges. The other VM refuses the delegation if at least
-    ``absent_shards_to_refuse`` of the shards have no usable replica. ``is_awaited`` is set if the
-    VM is overdue, but its work can't be replaced.
+    has. The other VM refuses the delegation if at least ``absent_shards_to_refuse`` of the shards
+    have no usable replica. ``is_awaited`` is set if the VM is overdue, but its work can't be
+    replaced.
     """
 
     assignment: Assignment
@@ -96,7 +104,6 @@
     absent_shards_to_refuse: int
     listener: DelegationListener
     written_at: float
-    hedge_at: float = inf
     is_accepted: bool = False
     has_reported: bool = False
     is_awaited: bool = False
@@ -106,19 +113,13 @@
         """Record the time at which the message was written."""
         self.written_at = trio.current_time()
 
-    def accept(self, hedge_in_s: float) -> None:
-        """Record that the other VM has accepted, and sends hedges in ``hedge_in_s`` seconds."""
+    def accept(self) -> None:
+        """Record that the other VM has accepted."""
         self.is_accepted = True
-        self.hedge_at = trio.current_time() + hedge_in_s
-
-    def count_sends(self, end: DelegationEnd, now: float) -> int:
-        """Return how many sends the other VM may have made for each shard that is not settled.
 
-        These are the first send and, from ``hedge_at`` on, a hedge.
-        """
-        if not end.may_have_sent:
-            return 0
-        return 2 if now >= self.hedge_at else 1
+    def permit_sends(self, services: Sequence[ServiceName]) -> list[ServiceName]:
+        """Permit one more send for each of these shards; return those for which it is permitted."""
+        return [] if self.is_over else self.listener.permit_sends(self, services)
 
     def handle_result(self, result: PartialResult) -> None:
         """Pass a partial result to the listener, unless the delegation is over."""
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
 import trio
 
+from zinnia_catalog.ids import ServiceName
 from zinnia_sending.answers import ReplicaAnswer
 from zinnia_sending.attempts import AttemptSender, RunRequest, SendReason, ShardProgress
 from zinnia_sending.budgets import RetryBudget
@@ -143,26 +145,45 @@
         if self._is_sealed:
             return
         open_shards = [shard for shard in delegation.shards.values() if not shard.is_settled]
-        sends = delegation.count_sends(end, trio.current_time())
+        if not end.may_have_sent:
+            for shard in open_shards:
+                shard.sends = 0
         self._note(
             "delegation_ended",
             peer=delegation.assignment.vm,
             cause=end.value,
             accepted=delegation.is_accepted,
             open_shards=len(open_shards),
-            counted_sends=sends * len(open_shards),
+            counted_sends=sum(shard.sends for shard in open_shards),
         )
         for shard in open_shards:
-            shard.sends = sends
             self._run_locally(shard)
 
+    def permit_sends(
+        self, delegation: Delegation, services: Sequence[ServiceName]
+    ) -> list[ServiceName]:
+        """Permit one more send for each of these shards that is still open on the other VM."""
+        permitted = []
+        for service in services:
+            shard = delegation.shards.get(service)
+            if shard is None or not self._may_permit_send(shard):
+                continue
+            shard.sends += 1
+            permitted.append(service)
+        return permitted
+
+    def _may_permit_send(self, shard: ShardProgress) -> bool:
+        if self._is_sealed or shard.is_settled or not shard.is_delegated:
+            return False
+        return shard.sends < self._request.route.max_attempts
+
     def _run_locally(self, shard: ShardProgress) -> None:
         """Send a request from this VM for a shard that another VM has no answer for."""
         shard.is_delegated = False
         shard.may_have_run = shard.may_have_run or shard.sends > 0
         reason = SendReason.RETRY_DELEGATED if shard.sends else SendReason.FIRST
         is_late = trio.current_time() >= self._end_at
-        if is_late or not self._try_send(shard, reason, ()):
+        if is_late or not self._send_again(shard, reason, False):
             self._settle_shard(shard)
 
     def _start_shards(self) -> bool:
@@ -181,6 +202,7 @@
         self.timing.sent_at = now
         for shard in delegated:
             shard.is_delegated = True
+            shard.sends = 1
         for assignment in assignments:
             self._delegate(assignment)
         for shard, replica in planned:
@@ -252,17 +274,16 @@
 
         A VM that is only slow may still report; its work is withdrawn only if it can be replaced.
         """
-        sends = delegation.count_sends(DelegationEnd.SILENT, now)
         lost = sum(
-            not shard.is_settled and not self._can_take_over(shard, sends, now)
+            not shard.is_settled and not self._can_take_over(shard, now)
             for shard in delegation.shards.values()
         )
         return self._can_answer_with(self._answered + self._pending - lost)
 
-    def _can_take_over(self, shard: ShardProgress, sends: int, now: float) -> bool:
-        """Return whether this VM may send for a shard after ``sends`` sends of another VM."""
+    def _can_take_over(self, shard: ShardProgress, now: float) -> bool:
+        """Return whether this VM may send for a shard in place of another VM."""
         return (
-            sends < self._request.route.max_attempts
+            shard.sends < self._request.route.max_attempts
             and self._budget.allows_send(shard.service, now)
             and self._fleet.choose(shard.service, (), now) is not None
         )
--- a/libs/sending/src/zinnia_sending/shards.py
+++ b/libs/sending/src/zinnia_sending/shards.py
@@ -16,6 +16,7 @@
     RunRequest,
     SendReason,
     ShardProgress,
+    WantedSend,
 )
 from zinnia_sending.budgets import RetryBudget
 from zinnia_sending.fleet import Fleet
@@ -103,9 +104,12 @@
             return
         if exchange.result in UNDELIVERED_RESULTS:
             shard.sends -= 1
-        if self._retry(shard, attempt, exchange.result):
-            return
-        if not shard.in_flight:
+        if not self._retry(shard, attempt, exchange.result):
+            self._settle_if_idle(shard)
+
+    def _settle_if_idle(self, shard: ShardProgress) -> None:
+        """Settle a shard without an answer that gets no more attempts."""
+        if not shard.in_flight and shard.wanted is None:
             self._settle_shard(shard)
 
     def _accept_answer(self, shard: ShardProgress, exchange: Exchange) -> bool:
@@ -148,10 +152,9 @@
         return planned
 
     def _retry(self, shard: ShardProgress, attempt: Attempt, result: ExchangeResult) -> bool:
-        """Send again after a failure if that is allowed; return whether a retry was sent.
+        """Send again after a failure if that is allowed; return whether the shard goes on.
 
-        Prefers a replica that was not tried before. If there is none and the request may have run,
-        a tried replica without an attempt in flight may get it again.
+        If the request may have run, a replica that was tried may get it again.
         """
         is_safe = self._request.route.is_idempotent or not result.may_have_run
         if not is_safe or result is ExchangeResult.CANCELLED:
@@ -159,32 +162,47 @@
         if trio.current_time() >= self._end_at:
             return False
         reason = RETRY_REASONS.get(result, SendReason.RETRY_FAILED)
-        if self._try_send(shard, reason, shard.tried):
-            return True
-        if not result.may_have_run:
-            return False
-        return self._try_send(shard, reason, [other.replica.id for other in shard.in_flight])
+        return self._send_again(shard, reason, result.may_have_run)
 
-    def _try_send(self, shard: ShardProgress, reason: SendReason, tried: Collection[str]) -> bool:
-        """Send to a replica that is not in ``tried``, within the attempts and the retry budget.
+    def _send_again(self, shard: ShardProgress, reason: SendReason, may_repeat: bool) -> bool:
+        """Send to a replica, or wait for permission; return False if neither is possible.
 
-        Returns whether an attempt was started.
+        Attempts and the retry budget limit the sends. Prefers a replica that was not tried before;
+        if there is none, ``may_repeat`` allows a tried one without an attempt in flight.
         """
         now = trio.current_time()
         if shard.sends >= self._request.route.max_attempts:
             return False
-        replica = self._fleet.choose(shard.service, tried, now)
+        replica = self._choose_again(shard, reason, may_repeat, now)
         if replica is None:
-            self._record_no_replica(shard, reason, tried, now)
             return False
         reserve = HEDGE_RESERVE_FRACTION if reason is SendReason.HEDGE else 0.0
-        if shard.sends and not self._budget.try_spend(shard.service, now, reserve):
+        if shard.sends and not self._budget.allows_send(shard.service, now, reserve):
             self._note("budget_spent", service=shard.service, reason=reason.value)
             return False
+        if self._waits_for_permission(shard, WantedSend(reason, may_repeat)):
+            return True
+        if shard.sends:
+            self._budget.spend(shard.service, now)
         self._note("sent", service=shard.service, replica=replica.id, reason=reason.value)
         self._send(shard, replica, reason, now)
         return True
 
+    def _waits_for_permission(self, shard: ShardProgress, wanted: WantedSend) -> bool:
+        """Return whether a send has to wait until another VM permits it."""
+        return False
+
+    def _choose_again(
+        self, shard: ShardProgress, reason: SendReason, may_repeat: bool, now: float
+    ) -> Replica | None:
+        replica = self._fleet.choose(shard.service, shard.tried, now)
+        if replica is None:
+            self._record_no_replica(shard, reason, shard.tried, now)
+        if replica is not None or not may_repeat:
+            return replica
+        busy = [attempt.replica.id for attempt in shard.in_flight]
+        return self._fleet.choose(shard.service, busy, now)
+
     def _send(self, shard: ShardProgress, replica: Replica, reason: SendReason, now: float) -> None:
         attempt = Attempt(shard, replica, reason, now, self._request, self.settle)
         shard.tried.append(replica.id)
@@ -218,7 +236,7 @@
         for shard in self._shards:
             if shard.is_settled or shard.is_hedged or len(shard.in_flight) != 1:
                 continue
-            shard.is_hedged = self._try_send(shard, SendReason.HEDGE, shard.tried)
+            shard.is_hedged = self._send_again(shard, SendReason.HEDGE, False)
 
     def _release_attempts(self, is_answered: bool) -> None:
         """Abandon the attempts in flight if the request was answered, otherwise cancel them."""
--- a/libs/sending/src/zinnia_sending/subqueries.py
+++ b/libs/sending/src/zinnia_sending/subqueries.py
@@ -2,25 +2,44 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
 
 import trio
 
-from zinnia_sending.attempts import AttemptSender, RunRequest, SendReason, ShardProgress
+from zinnia_catalog.ids import ServiceName
+from zinnia_sending.attempts import (
+    AttemptSender,
+    RunRequest,
+    SendReason,
+    ShardProgress,
+    WantedSend,
+)
 from zinnia_sending.budgets import RetryBudget
 from zinnia_sending.delegation import PartialResult, ShardFailure
 from zinnia_sending.fleet import Fleet
 from zinnia_sending.merge import merge_records
 from zinnia_sending.shards import ShardRun
 
-Reporter = Callable[[PartialResult, bool], None]
+
+class SubqueryReporter(ABC):
+    """Sends messages to the VM that delegated a subquery."""
+
+    @abstractmethod
+    def report(self, result: PartialResult, is_last: bool) -> None:
+        """Send a partial result; ``is_last`` says that no more follow."""
+
+    @abstractmethod
+    def ask_permission(self, services: Sequence[ServiceName]) -> None:
+        """Ask whether each of these shards may be sent once more."""
 
 
 class SubqueryRun(ShardRun):
     """Runs delegated shards until all are settled, the deadline has passed, or it is cancelled.
 
     The first report is made at ``report_at`` or as soon as all shards are settled, whichever is
-    first; shards that are settled later are reported individually as they are settled.
+    first; shards that are settled later are reported individually as they are settled. Each shard
+    is sent once; the delegating VM, which may lose this one, has to permit each further send.
 
     Parameters
     ----------
@@ -30,8 +49,8 @@
         Monotonic time of the first report in seconds.
     absent_shards_to_refuse : int
         Nothing is sent if at least this many shards have no usable replica.
-    report : Callable[[PartialResult, bool], None]
-        Called with each partial result and whether it is the last one.
+    reporter : SubqueryReporter
+        Sends results and questions to the delegating VM.
     """
 
     def __init__(
@@ -42,19 +61,16 @@
         sender: AttemptSender,
         report_at: float,
         absent_shards_to_refuse: int,
-        report: Reporter,
+        reporter: SubqueryReporter,
     ) -> None:
         super().__init__(request, fleet, budget, sender)
         self.is_answered = False
         self._report_at = report_at
         self._absent_shards_to_refuse = absent_shards_to_refuse
-        self._report = report
+        self._reporter = reporter
         self._unreported = list(self._shards)
-
-    @property
-    def hedge_in_s(self) -> float:
-        """Delay in seconds between the first sends and the hedges."""
-        return self._request.latency.hedge_s
+        self._shards_by_service = {shard.service: shard for shard in self._shards}
+        self._unasked: list[ServiceName] = []
 
     @property
     def missing(self) -> int:
@@ -78,6 +94,34 @@
             self._is_sealed = True
             self._release_attempts(self.is_answered)
 
+    def permit_sends(self, services: Sequence[ServiceName]) -> None:
+        """Send once more for these shards, if that is still wanted."""
+        for service in services:
+            shard = self._shards_by_service[service]
+            shard.permitted_sends += 1
+            wanted, shard.wanted = shard.wanted, None
+            if wanted is None or shard.is_settled or self._has_ended():
+                continue
+            if not self._send_again(shard, wanted.reason, wanted.may_repeat):
+                self._settle_if_idle(shard)
+
+    def _has_ended(self) -> bool:
+        return self._is_sealed or trio.current_time() >= self._end_at
+
+    def _waits_for_permission(self, shard: ShardProgress, wanted: WantedSend) -> bool:
+        if shard.sends < shard.permitted_sends:
+            return False
+        if shard.wanted is None:
+            self._unasked.append(shard.service)
+            self._wake.set()
+        shard.wanted = wanted
+        return True
+
+    def _ask_permission(self) -> None:
+        if self._unasked:
+            services, self._unasked = self._unasked, []
+            self._reporter.ask_permission(services)
+
     def _start_shards(self) -> bool:
         now = trio.current_time()
         planned = self._choose_first_replicas(self._shards)
@@ -93,6 +137,7 @@
             now = trio.current_time()
             if self._hedge_if_due(now):
                 continue
+            self._ask_permission()
             if now >= self._report_at:
                 self._report_settled(False)
             await self._wait_for_decision(self._find_next_time())
@@ -118,7 +163,7 @@
             settled, self._unreported = self._unreported, []
         else:
             self._unreported = [shard for shard in self._unreported if not shard.is_settled]
-        self._report(self._merge(settled), is_last)
+        self._reporter.report(self._merge(settled), is_last)
 
     def _merge(self, shards: list[ShardProgress]) -> PartialResult:
         answered = [shard for shard in shards if shard.answer is not None]
--- a/libs/sending/tests/test_delegation.py
+++ b/libs/sending/tests/test_delegation.py
@@ -20,7 +20,6 @@
 SHARDS = [f"s{number}" for number in range(20)]
 FAST_ANSWER = (0.01, make_answered(body=b"here" * 4, signature=b"here"))
 TARGET_S = 0.1
-HEDGE_IN_S = 0.03
 REPORT_LEAD_S = 0.004
 
 
@@ -93,7 +92,7 @@
         """
 
         async def act_as_peer(delegation, nursery):
-            delegation.accept(HEDGE_IN_S)
+            delegation.accept()
             await trio.sleep(0.02)
             delegation.end(DelegationEnd.LOST)
 
@@ -104,18 +103,32 @@
         _, _, outcome = self.run_delegated(act_as_peer, slack=0.0)
         self.assertIs(RunVerdict.FAILED, outcome.verdict)
 
-    def test_vm_that_is_lost_after_the_hedge_time_counts_as_two_sends(self):
+    def test_permitted_sends_of_a_lost_vm_count(self):
         """Guards against more sends to a shard than the route allows."""
 
         async def act_as_peer(delegation, nursery):
-            delegation.accept(HEDGE_IN_S)
-            await trio.sleep(HEDGE_IN_S)
+            delegation.accept()
+            self.assertEqual(SHARDS[5:], delegation.permit_sends(SHARDS[5:]))
+            self.assertEqual([], delegation.permit_sends(SHARDS[5:]))
             delegation.end(DelegationEnd.LOST)
+            self.assertEqual([], delegation.permit_sends(SHARDS[5:]))
 
         harness, _, outcome = self.run_delegated(act_as_peer, max_attempts=2)
         self.assertEqual(5, len(harness.sender.sent))
         self.assertIs(RunVerdict.FAILED, outcome.verdict)
 
+    def test_no_send_is_permitted_for_a_shard_that_is_sent_from_here(self):
+        """Guards against two VMs that use the same attempt of a shard."""
+        permitted = []
+
+        async def act_as_peer(delegation, nursery):
+            delegation.handle_result(make_result((), failures=[ShardFailure("s18", 1)]))
+            permitted.extend(delegation.permit_sends(["s18", "s19", "unknown"]))
+            delegation.handle_result(make_result(SHARDS[5:18]))
+
+        self.run_delegated(act_as_peer)
+        self.assertEqual(["s19"], permitted)
+
     def test_vm_that_does_not_accept_in_time_is_treated_as_lost(self):
         """Load pattern: VMs freeze or are partitioned off; their connections stay open.
 
@@ -140,7 +153,7 @@
             await trio.sleep(ACCEPT_TIMEOUT_S - 0.005)
             delegation.record_write_time()
             await trio.sleep(0.01)
-            delegation.accept(HEDGE_IN_S)
+            delegation.accept()
             delegation.handle_result(make_result(SHARDS[5:]))
 
         harness, delegator, outcome = self.run_delegated(act_as_peer)
@@ -151,7 +164,7 @@
         """Guards against a request without an answer because a VM froze after it had accepted."""
 
         async def act_as_peer(delegation, nursery):
-            delegation.accept(1.0)
+            delegation.accept()
 
         harness, delegator, outcome = self.run_delegated(act_as_peer, max_attempts=3)
         self.assertIs(RunVerdict.COMPLETE, outcome.verdict)
@@ -175,13 +188,14 @@
         self.assertEqual([("vm-2", True)], delegator.finished)
 
     def test_late_report_of_a_vm_that_accepted_is_used(self):
-        """Load pattern: a VM pauses between accepting and reporting; its sends count as two.
+        """Load pattern: a VM pauses between accepting and reporting; it may send again.
 
         Guards against a failure at the planned seal although the answers come soon after it.
         """
 
         async def act_as_peer(delegation, nursery):
-            delegation.accept(HEDGE_IN_S)
+            delegation.accept()
+            delegation.permit_sends(SHARDS[5:])
             await trio.sleep(TARGET_S + REPORT_GRACE_S + 0.02)
             delegation.handle_result(make_result(SHARDS[5:]))
 
@@ -193,7 +207,8 @@
         """Guards against a request that waits for its deadline once the VM is known to be lost."""
 
         async def act_as_peer(delegation, nursery):
-            delegation.accept(HEDGE_IN_S)
+            delegation.accept()
+            delegation.permit_sends(SHARDS[5:])
             await trio.sleep(TARGET_S + REPORT_GRACE_S + 0.02)
             delegation.end(DelegationEnd.LOST)
 
@@ -220,7 +235,7 @@
         """
 
         async def act_as_peer(delegation, nursery):
-            delegation.accept(1.0)
+            delegation.accept()
             await trio.sleep(delegation.report_at - trio.current_time())
             delegation.handle_result(make_result(SHARDS[5:18]))
 
