Read the limit that a replica names, and log when one begins and ends

Cause: no line said that a replica had named a limit, so that a VM that does not know of it looked like one that ignores it. Change: the header is read, and replica_limit_changed is written at the first answer with a limit and the first one without. No decision changes.

--- a/libs/sending/src/zinnia_sending/answers.py
+++ b/libs/sending/src/zinnia_sending/answers.py
@@ -55,7 +55,8 @@
 class AnswerFacts:
     """Facts read from the headers of an answer.
 
-    ``warmup_s`` is how long the replica remains cold in seconds, None if there is no such header.
+    ``warmup_s`` is how long the replica remains cold in seconds, and ``rate_limit_per_s`` the
+    number of requests a second that it takes from all VMs; None if there is no such header.
     """
 
     request_id: bytes
@@ -64,14 +65,20 @@
     is_wrong_replica: bool
     has_encoding: bool
     warmup_s: float | None = None
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
-    """Result of one exchange with a replica; ``fault`` is set if its bytes were no valid answer."""
+    """Result of one exchange with a replica.
+
+    ``fault`` is set if its bytes were no valid answer. ``rate_limit_per_s`` is the limit that its
+    answer names, in requests a second from all VMs.
+    """
 
     result: ExchangeResult
     duration_s: float
     answer: ReplicaAnswer | None = None
     cause: str = ""
     fault: AnswerFault | None = None
+    rate_limit_per_s: float | None = None
--- a/libs/sending/src/zinnia_sending/dispatcher.py
+++ b/libs/sending/src/zinnia_sending/dispatcher.py
@@ -101,6 +101,8 @@
         self._counters.count_result(exchange.result, exchange.duration_s)
         if exchange.fault is not None:
             self._record_fault(replica, exchange)
+        if exchange.rate_limit_per_s is not None or exchange.result is ExchangeResult.ANSWERED:
+            self._fleet.record_rate_limit(replica, exchange.rate_limit_per_s)
         result = exchange.result
         if result is ExchangeResult.ANSWERED:
             latency.record(exchange.duration_s)
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -265,6 +265,18 @@
             replica.count_warmup_request(limits, self._get_warmup_share(), now)
         self.versions.count_send(replica.entry.service, replica.entry.version)
 
+    def record_rate_limit(self, replica: Replica, limit_per_s: float | None) -> None:
+        """Record the limit in requests a second that an answer named, None if it named none."""
+        was_limited = replica.rate_limit_per_s is not None
+        replica.rate_limit_per_s = limit_per_s
+        if was_limited != (limit_per_s is not None):
+            self._events.note(
+                "replica_limit_changed",
+                replica=replica.id,
+                service=replica.entry.service,
+                limit_per_s=limit_per_s,
+            )
+
     def list_observations(self, now: float) -> list[Observation]:
         """Return the replicas that this VM itself has observed to be slow or failing."""
         found = []
--- a/libs/sending/src/zinnia_sending/replica.py
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -1,6 +1,7 @@
 """A replica as this VM uses it: catalog entry, connections, health and warm-up."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 import trio
 
@@ -32,7 +33,8 @@
     """Sends requests to one replica.
 
     ``is_gone`` is set once the replica is removed or another replica answers at its address; it
-    gets no more requests then.
+    gets no more requests then. ``rate_limit_per_s`` is the number of requests a second that it
+    takes from all VMs together, None if its last answer named none.
     """
 
     def __init__(self, entry: ReplicaEntry, connection_limit: int, now: float) -> None:
@@ -41,6 +43,7 @@
         self.pool = ConnectionPool(entry.host, entry.port, connection_limit)
         self.warm_at = now + entry.warmup_remaining_s
         self.is_gone = False
+        self.rate_limit_per_s: float | None = None
         self._warmup_limiter: WarmupRateLimiter | None = None
 
     @property
@@ -111,7 +114,11 @@
                 self.pool.release(
                     connection, trio.current_time(), parse_keep_alive_timeout(raw.headers)
                 )
-            return self._classify_answer(raw, reader.facts, started_at)
+            exchange = self._classify_answer(raw, reader.facts, started_at)
+            rate_limit_per_s = reader.facts.rate_limit_per_s
+            if rate_limit_per_s is None or exchange.result is ExchangeResult.WRONG_REPLICA:
+                return exchange
+            return replace(exchange, rate_limit_per_s=rate_limit_per_s)
         except ConnectionEndedError as error:
             return _end_exchange(ExchangeResult.BROKEN, started_at, str(error))
         except BadAnswerError as error:
