Let unused permits of VMs that rarely send to a limited replica expire

At 67 VMs or more, those that are no senders of a limited replica kept one saved permit each. Once the other replicas were lost after minutes without use, all of them were used at once: 85 requests in 4 s at 67 VMs and a limit of 6 a second (41 allowed), 213 at 195 VMs, and 8 at a limit of 0 (5 allowed) by test_all_vms_begin_to_send_at_once.

Cause: permits piled up over many VMs. Change: such a VM may send once in an interval, at a time of its own, and a permit that is not used within a second expires. What the senders may save stays bounded by the limit of a second and 2 requests. A limit that changes with each answer now changes the rate of the permits and adds none.

--- a/libs/entry/src/zinnia_entry/shares.py
+++ b/libs/entry/src/zinnia_entry/shares.py
@@ -8,7 +8,13 @@
 from zinnia_catalog.replicas import ReplicaEntry
 from zinnia_catalog.routes import Configuration
 from zinnia_delegation.ranking import find_runners
-from zinnia_sending.rates import MIN_LIMIT_PER_S, RateShare, RateShares
+from zinnia_sending.rates import (
+    MIN_LIMIT_PER_S,
+    RateShare,
+    RateShares,
+    SenderShare,
+    TrialShare,
+)
 
 # Fraction of a shard's slack for the VMs that run parts of fan-outs; all VMs share the rest.
 RUNNERS_FRACTION = 0.5
@@ -130,16 +136,16 @@
         vms = max(1, self._count_vms(), len(members))
         # A VM that is not registered yet may not know all other VMs, so it takes an equal share.
         if self._own not in members:
-            return RateShare(limit_per_s / vms, 1.0)
+            return SenderShare(limit_per_s / vms, 1.0)
         senders = self._rank_senders(replica)[: max(1, int(limit_per_s))]
         others = vms - len(senders)
         if self._own not in senders:
-            return RateShare((1.0 - SENDERS_FRACTION) * limit_per_s / others, 1.0)
+            return TrialShare(others / ((1.0 - SENDERS_FRACTION) * limit_per_s))
         weights = {vm: self._weigh(vm, replica.data_centre) for vm in senders}
         fraction = SENDERS_FRACTION if others else 1.0
         rate_per_s = fraction * limit_per_s * weights[self._own] / sum(weights.values())
         burst = (limit_per_s + SENDERS_BURST_SLACK) / len(senders)
-        return RateShare(rate_per_s, max(1.0, burst))
+        return SenderShare(rate_per_s, max(1.0, burst))
 
     def _rank_senders(self, replica: ReplicaEntry) -> list[VmName]:
         """Return the VMs that may get a larger share of the limit, best first."""
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -289,7 +289,7 @@
             replica.rate_limit = None
         elif known is None:
             share = self._rate_shares.get_share(replica.entry, limit_per_s)
-            replica.rate_limit = RateLimit(limit_per_s, share, now, self._random.random())
+            replica.rate_limit = RateLimit(limit_per_s, share, now, self._random)
         elif known.needs_share(limit_per_s, now):
             share = self._rate_shares.get_share(replica.entry, limit_per_s)
             known.change_share(limit_per_s, share, now)
