Tell callers when any VM may send to a limited replica

Cause: the time to come back of a refusal was that of this VM's next permit, up to minutes for a VM that rarely sends to the replica, though a caller that comes back reaches another VM. Change: at most the mean time between two requests that the replica takes from all VMs.

--- a/libs/sending/src/zinnia_sending/rates.py
+++ b/libs/sending/src/zinnia_sending/rates.py
@@ -277,5 +277,9 @@
         self._permits.count_send(now)
 
     def find_next_time(self, now: float) -> float:
-        """Return the monotonic time from which this VM may send a request."""
-        return self._permits.find_next_time(now)
+        """Return the time from which this VM or, on average, another one may send a request.
+
+        A caller that comes back reaches another VM.
+        """
+        any_vm_at = now + 1.0 / max(MIN_LIMIT_PER_S, self._limit_per_s)
+        return min(any_vm_at, self._permits.find_next_time(now))
