--- a/libs/sending/src/zinnia_sending/versions.py
+++ b/libs/sending/src/zinnia_sending/versions.py
@@ -75,11 +75,16 @@
             self._moves[service] = VersionMove(order, now)
         else:
             known.order = order
+        move = self._moves.get(service, known)
         self._events.note(
             "release_changed",
             service=service,
             target=order.target if order else None,
             state=order.state.value if order else "withdrawn",
+            sent=move.sent if move else 0,
+            sent_new=move.sent_new if move else 0,
+            good=move.good if move else 0,
+            bad=move.bad if move else 0,
         )
 
     def list_moves(self) -> list[VersionMove]:
