Pool the evidence about a new version over all VMs

Callers saw: a bad version of a service got 20 to 36% of its requests in the time of its release, and took the service over (EXPOSURE: 87 of 242 requests, allowed 74; 98 of 303, allowed 80).

Cause: each VM judged the new version by the answers that it had received itself. At 6% of few requests each of eight VMs gets two answers, none gets the three bad ones that reject the version, and the first VM whose time has come writes 'done'.

Change: processes pool their counts with the messages between VMs that follow each other; any VM rejects for all, without a write; what is still open shortly before the due time is taken back if its few answers are mostly bad. The wire formats of what VMs tell each other move into a module of their own.

Why it works: the sum over all VMs does not depend on how many VMs share the requests. Counts only grow and belong to one process, so repeated and late messages change nothing, and those of killed processes are kept.

--- a/libs/catalog/src/zinnia_catalog/ids.py
+++ b/libs/catalog/src/zinnia_catalog/ids.py
@@ -8,3 +8,5 @@
 DataCentreId = NewType("DataCentreId", str)
 VersionId = NewType("VersionId", str)
 VmName = NewType("VmName", str)
+# One process of a VM; a restarted process has another one.
+ProcessId = NewType("ProcessId", str)
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -1,5 +1,6 @@
 """The entry process of one VM: wires its servers and tasks together, and stops them gracefully."""
 
+import secrets
 import signal
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, fields, replace
@@ -9,6 +10,8 @@
 
 from zinnia_catalog.catalog import Catalog, ObjectDecoder
 from zinnia_catalog.collections import Collection
+from zinnia_catalog.evidence import Evidence
+from zinnia_catalog.ids import ProcessId, VmName
 from zinnia_catalog.members import rank_names
 from zinnia_catalog.objects import ObjectKind, ObjectStore, StoreError
 from zinnia_catalog.observations import Observation
@@ -28,13 +31,15 @@
 from zinnia_entry.shares import LimitShares, PartRunners, RetryShares
 from zinnia_entry.sources import FOLLOWED_KINDS, SourceController, make_member
 from zinnia_entry.subqueries import TierSubqueryHandler
+from zinnia_relay.exchange import FindingsSource
 from zinnia_relay.server import RelayServer
-from zinnia_relay.store_cache import ReplicaObserver, StoreCache
+from zinnia_relay.store_cache import StoreCache
 from zinnia_sending.budgets import RetryBudget
 from zinnia_sending.dispatcher import Dispatcher
 from zinnia_sending.fleet import Fleet
 from zinnia_sending.limits import AnswerMemory
 from zinnia_sending.protocol import ReplicaProtocol
+from zinnia_sending.versions import VersionShares
 
 EXPIRY_CHECK_INTERVAL_S = 0.2
 # How often the settings file is read again, since it may change without a signal.
@@ -48,6 +53,8 @@
 ANSWER_MEMORY_FRACTION = 0.125
 # Delay before the second listing: VMs that start together have registered by then.
 FIRST_MEMBERS_INTERVAL_S = 1.0
+# Random bytes that tell the processes of a VM apart.
+PROCESS_ID_BYTES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,8 +67,8 @@
     callers: CallerProtocol
 
 
-class FleetObserver(ReplicaObserver):
-    """Passes observations of replicas between this VM's fleet and the other VMs."""
+class FleetFindings(FindingsSource):
+    """Passes findings between this VM's fleet and the other VMs."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
@@ -74,6 +81,18 @@
         """Apply observations of other VMs to the fleet."""
         self._fleet.apply_observations(observations, trio.current_time())
 
+    def list_evidence(self) -> list[Evidence]:
+        """Return the evidence of this process, and what has changed of that of others."""
+        return self._fleet.versions.list_evidence(trio.current_time())
+
+    def list_totals(self) -> list[Evidence]:
+        """Return the pooled evidence of all processes."""
+        return self._fleet.versions.list_totals(trio.current_time())
+
+    def merge_evidence(self, evidence: Iterable[Evidence]) -> None:
+        """Merge evidence of other VMs."""
+        self._fleet.versions.merge_evidence(evidence, trio.current_time())
+
 
 class EntryNode:
     """The entry process of one VM, with all its servers and background tasks.
@@ -110,15 +129,16 @@
             settings.delegate_from,
         )
         limit_shares = LimitShares(settings.vm, self.count_vms, runners)
+        versions = VersionShares(events, make_process_id(settings.vm))
         self._fleet = Fleet(
-            settings.data_centre, self.count_vms, events, self._random, limit_shares
+            settings.data_centre, self.count_vms, events, self._random, limit_shares, versions
         )
         self.catalog = Catalog(adapter.decoder, self._fleet, trio.current_time)
         retry_shares = RetryShares(settings.vm, self.count_vms, runners)
         self._retry_budget = RetryBudget(settings.retry_bounds, retry_shares.get_share)
         self._members = Collection(ObjectKind.MEMBERS)
-        observer = FleetObserver(self._fleet)
-        self._store_cache = StoreCache(FOLLOWED_KINDS, self.catalog.apply, observer)
+        findings = FleetFindings(self._fleet)
+        self._store_cache = StoreCache(FOLLOWED_KINDS, self.catalog.apply, findings)
         self._source_controller = SourceController(
             settings,
             self._store_cache,
@@ -340,3 +360,8 @@
 def find_changed_settings(old: EntrySettings, new: EntrySettings) -> list[str]:
     """Return the names of the settings that have changed."""
     return [item.name for item in fields(old) if getattr(old, item.name) != getattr(new, item.name)]
+
+
+def make_process_id(vm: VmName) -> ProcessId:
+    """Return an id that no other process has, also no earlier one of this VM."""
+    return ProcessId(f"{vm}/{secrets.token_hex(PROCESS_ID_BYTES)}")
--- a/libs/entry/src/zinnia_entry/releases.py
+++ b/libs/entry/src/zinnia_entry/releases.py
@@ -7,14 +7,20 @@
 from zinnia_catalog.objects import ObjectStore, StoreError, WriteConflictError
 from zinnia_catalog.releases import ReleaseState
 from zinnia_sending.events import EventSink
-from zinnia_sending.versions import VersionMove, VersionShares
+from zinnia_sending.versions import VersionMove, VersionShares, looks_bad
 
 REVIEW_INTERVAL_S = 0.5
 # Delay before a VM writes, per rank, so that usually only the VM of the first rank writes.
 RANK_DELAY_S = 0.4
 MAX_RANK_DELAY_S = 2.0
-# A move without evidence against it is done after this fraction of the duration of its order.
-DONE_FRACTION = 0.75
+# A move without evidence against it is done this long before its due time, or before a fraction of
+# the duration of its order if that is shorter.
+DONE_MARGIN_S = 4.0
+DONE_MARGIN_FRACTION = 0.25
+# With fewer answers of the new version than this, VMs wait longer for more of them.
+ENOUGH_ANSWERS = 12
+LAST_MARGIN_S = 2.0
+LAST_MARGIN_FRACTION = 0.12
 
 
 class ReleaseDriver:
@@ -57,8 +63,9 @@
             return ReleaseState.TAKEN_BACK
         elapsed_s = self._clock() - move.started_at
         delay_s = min(MAX_RANK_DELAY_S, self._get_rank() * RANK_DELAY_S)
-        if elapsed_s >= DONE_FRACTION * move.order.duration_s + delay_s:
-            return ReleaseState.DONE
+        if elapsed_s >= find_decision_time(move) + delay_s:
+            is_bad = looks_bad(move.evidence.total, min_bad=1)
+            return ReleaseState.TAKEN_BACK if is_bad else ReleaseState.DONE
         if move.order.state is ReleaseState.ORDERED and elapsed_s >= delay_s:
             return ReleaseState.RUNNING
         return None
@@ -72,11 +79,20 @@
         except StoreError as error:
             self._events.note("release_unwritten", service=order.service, cause=error.cause)
         else:
+            total = move.evidence.total
             self._events.note(
                 "release_written",
                 service=order.service,
                 target=order.target,
                 state=state.value,
-                good=move.good,
-                bad=move.bad,
+                good=total.good,
+                bad=total.bad,
             )
+
+
+def find_decision_time(move: VersionMove) -> float:
+    """Return the seconds from the order of a move until its end state is chosen."""
+    duration_s = move.order.duration_s
+    if move.evidence.total.answers < ENOUGH_ANSWERS:
+        return duration_s - min(LAST_MARGIN_S, LAST_MARGIN_FRACTION * duration_s)
+    return duration_s - min(DONE_MARGIN_S, DONE_MARGIN_FRACTION * duration_s)
--- a/libs/entry/tests/test_releases.py
+++ b/libs/entry/tests/test_releases.py
@@ -6,7 +6,13 @@
 
 from zinnia_catalog.objects import WriteConflictError
 from zinnia_catalog.releases import ReleaseOrder, ReleaseState
-from zinnia_entry.releases import DONE_FRACTION, RANK_DELAY_S, ReleaseDriver
+from zinnia_entry.releases import (
+    DONE_MARGIN_FRACTION,
+    ENOUGH_ANSWERS,
+    LAST_MARGIN_FRACTION,
+    RANK_DELAY_S,
+    ReleaseDriver,
+)
 from zinnia_sending.events import NullSink
 from zinnia_sending.versions import VersionShares
 
@@ -28,16 +34,38 @@
     def set_order(self, state):
         self.versions.change_order("s", ReleaseOrder("s", "v2", DURATION_S, state, 3), self.now)
 
+    def record(self, good, bad):
+        for number in range(good + bad):
+            self.versions.record("s", "v2", number >= bad, 1.0)
+
     def choose_state(self, driver=None):
         return (driver or self.driver).choose_state(self.versions.list_moves()[0])
 
     def test_move_to_a_good_version_is_done_before_its_duration_ends(self):
         """Guards against a move that is still open at the end of its ordered duration."""
-        self.now = DURATION_S * DONE_FRACTION - 0.1
+        self.record(good=ENOUGH_ANSWERS, bad=0)
+        self.now = DURATION_S * (1.0 - DONE_MARGIN_FRACTION) - 0.1
+        self.assertIsNone(self.choose_state())
+        self.now = DURATION_S * (1.0 - DONE_MARGIN_FRACTION)
+        self.assertIs(ReleaseState.DONE, self.choose_state())
+
+    def test_move_with_few_answers_is_decided_later_but_in_time(self):
+        """Load pattern: the service gets few requests. Guards against a choice on two answers."""
+        self.record(good=ENOUGH_ANSWERS - 1, bad=0)
+        self.now = DURATION_S * (1.0 - LAST_MARGIN_FRACTION) - 0.1
         self.assertIsNone(self.choose_state())
-        self.now = DURATION_S * DONE_FRACTION
+        self.now = DURATION_S * (1.0 - LAST_MARGIN_FRACTION)
         self.assertIs(ReleaseState.DONE, self.choose_state())
 
+    def test_version_with_some_bad_answers_is_taken_back_at_the_end(self):
+        """Load pattern: the service gets few requests, and one of two answers is bad.
+
+        Guards against a version that takes over although most of what is known is against it.
+        """
+        self.record(good=1, bad=1)
+        self.now = DURATION_S * (1.0 - LAST_MARGIN_FRACTION)
+        self.assertIs(ReleaseState.TAKEN_BACK, self.choose_state())
+
     def test_rejected_version_is_taken_back_at_once_by_every_vm(self):
         """Load pattern: a bad version fails at once. Guards against waiting for rank 0."""
         for _ in range(5):
--- a/libs/relay/src/zinnia_relay/messages.py
+++ b/libs/relay/src/zinnia_relay/messages.py
@@ -11,9 +11,8 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from zinnia_catalog.collections import Collection
-from zinnia_catalog.ids import ReplicaId
 from zinnia_catalog.objects import Change, Changes, Listing, StoredObject
-from zinnia_catalog.observations import Observation
+from zinnia_relay.exchange import Findings
 
 # Exceptions that ``decode`` may raise on malformed input.
 DECODE_ERRORS = (TProtocolException, EOFError, ValueError, TypeError, KeyError)
@@ -87,25 +86,6 @@
         self.outage_age_ms = outage_age_ms
 
 
-class ObservedReplica(TBase):
-    """A replica that a VM found slow; ``slowness`` is in tenths of the usual latency."""
-
-    thrift_spec = (
-        None,
-        (1, TType.STRING, "replica", "UTF8", None),
-        (2, TType.I32, "slowness", None, None),
-        (3, TType.I32, "age_ms", None, None),
-    )
-
-    def __init__(self, replica: str = "", slowness: int = 0, age_ms: int = 0) -> None:
-        self.replica = replica
-        self.slowness = slowness
-        self.age_ms = age_ms
-
-
-OBSERVED_LIST = (TType.STRUCT, [ObservedReplica, ObservedReplica.thrift_spec], False)
-
-
 class FollowRequest(TBase):
     """Long poll for changes after the given revisions; the reply is due after ``wait_ms``."""
 
@@ -114,7 +94,7 @@
         (1, TType.STRING, "vm", "UTF8", None),
         (2, TType.MAP, "revisions", (TType.STRING, "UTF8", TType.I64, None, False), None),
         (3, TType.I64, "wait_ms", None, None),
-        (4, TType.LIST, "observed", OBSERVED_LIST, None),
+        (4, TType.STRUCT, "findings", [Findings, Findings.thrift_spec], None),
     )
 
     def __init__(
@@ -122,12 +102,12 @@
         vm: str = "",
         revisions: dict[str, int] | None = None,
         wait_ms: int = 0,
-        observed: list[ObservedReplica] | None = None,
+        findings: Findings | None = None,
     ) -> None:
         self.vm = vm
         self.revisions = revisions or {}
         self.wait_ms = wait_ms
-        self.observed = observed or []
+        self.findings = findings or Findings()
 
 
 class FollowReply(TBase):
@@ -137,18 +117,18 @@
         None,
         (1, TType.STRING, "vm", "UTF8", None),
         (2, TType.LIST, "kinds", (TType.STRUCT, [KindUpdate, KindUpdate.thrift_spec], False), None),
-        (3, TType.LIST, "observed", OBSERVED_LIST, None),
+        (3, TType.STRUCT, "findings", [Findings, Findings.thrift_spec], None),
     )
 
     def __init__(
         self,
         vm: str = "",
         kinds: list[KindUpdate] | None = None,
-        observed: list[ObservedReplica] | None = None,
+        findings: Findings | None = None,
     ) -> None:
         self.vm = vm
         self.kinds = kinds or []
-        self.observed = observed or []
+        self.findings = findings or Findings()
 
 
 def encode(message: TBase) -> bytes:
@@ -165,22 +145,6 @@
     return message
 
 
-def encode_observations(observations: Iterable[Observation]) -> list[ObservedReplica]:
-    """Return observations in their wire format."""
-    return [
-        ObservedReplica(item.replica, round(item.slowness * 10), int(item.age_s * 1000))
-        for item in observations
-    ]
-
-
-def decode_observations(observed: Iterable[ObservedReplica]) -> list[Observation]:
-    """Return observations from their wire format."""
-    return [
-        Observation(ReplicaId(item.replica), item.slowness / 10, item.age_ms / 1000)
-        for item in observed
-    ]
-
-
 def make_update(
     collection: Collection, revision: int, age_ms: int, outage_age_ms: int
 ) -> KindUpdate:
--- a/libs/relay/src/zinnia_relay/store_cache.py
+++ b/libs/relay/src/zinnia_relay/store_cache.py
@@ -1,21 +1,17 @@
 """A VM's cached copy of the store, which it exchanges with its peers, and the age of the copy."""
 
-from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import trio
 
 from zinnia_catalog.collections import Collection
 from zinnia_catalog.objects import Change, ObjectKind
-from zinnia_catalog.observations import Observation, ObservationTable
+from zinnia_relay.exchange import FindingsExchange, FindingsSource
 from zinnia_relay.messages import (
     FollowReply,
     FollowRequest,
     KindUpdate,
-    ObservedReplica,
     apply_update,
-    decode_observations,
-    encode_observations,
     make_update,
 )
 
@@ -26,18 +22,6 @@
 ChangeHandler = Callable[[ObjectKind, tuple[Change, ...], bool], None]
 
 
-class ReplicaObserver(ABC):
-    """Source of this VM's observations of replicas, and recipient of those of other VMs."""
-
-    @abstractmethod
-    def list_observations(self) -> list[Observation]:
-        """Return this VM's own observations of slow or failing replicas."""
-
-    @abstractmethod
-    def apply_observations(self, observations: Iterable[Observation]) -> None:
-        """Apply observations of other VMs."""
-
-
 class StoreCache:
     """Cached objects of each kind, and the time at which the store last confirmed them.
 
@@ -47,23 +31,22 @@
         The kinds of objects to cache.
     apply : Callable
         Called with the kind, its changes, and whether the store failed shortly before.
-    observer : ReplicaObserver, optional
-        Provides this VM's observations of replicas, and receives those of other VMs.
+    source : FindingsSource, optional
+        Provides what this VM has found out, and receives what other VMs have.
     """
 
     def __init__(
         self,
         kinds: tuple[ObjectKind, ...],
         apply: ChangeHandler,
-        observer: ReplicaObserver | None = None,
+        source: FindingsSource | None = None,
     ) -> None:
         self.collections = {kind: Collection(kind) for kind in kinds}
         self._apply = apply
         self._confirmed_at: dict[ObjectKind, float] = {}
         self._failed_at: dict[ObjectKind, float] = {}
         self._changed = trio.Event()
-        self._observer = observer
-        self._observations = ObservationTable(trio.current_time)
+        self._findings = FindingsExchange(source)
 
     @property
     def is_complete(self) -> bool:
@@ -94,24 +77,22 @@
         return all(age is not None and age <= limits[kind] for kind, age in ages.items())
 
     def make_request(self, vm: str, wait_s: float) -> FollowRequest:
-        """Return a request for the changes that this VM lacks, with its fresh observations."""
+        """Return a request for the changes that this VM lacks, with its findings."""
         revisions = {kind.value: item.revision for kind, item in self.collections.items()}
-        self._exchange_observations(())
-        observed = encode_observations(self._observations.list_fresh())
-        return FollowRequest(vm, revisions, int(wait_s * 1000), observed)
+        return FollowRequest(vm, revisions, int(wait_s * 1000), self._findings.make_request())
 
     async def answer_request(self, vm: str, request: FollowRequest) -> FollowReply:
         """Return the changes that a peer lacks, once there are any or its wait is over."""
-        self._exchange_observations(request.observed)
+        self._findings.apply(request.findings)
         with trio.move_on_after(request.wait_ms / 1000):
             while not self._has_newer_revision(request):
                 await self._changed.wait()
         kinds = [self._make_update(kind, request) for kind in self.collections]
-        return FollowReply(vm, kinds, encode_observations(self._observations.list_fresh()))
+        return FollowReply(vm, kinds, self._findings.make_reply())
 
     def apply_reply(self, reply: FollowReply) -> None:
-        """Apply the changes, ages and observations of a peer's reply."""
-        self._exchange_observations(reply.observed)
+        """Apply the changes, ages and findings of a peer's reply."""
+        self._findings.apply(reply.findings)
         for update in reply.kinds:
             kind = _find_kind(update.kind)
             if kind is None or kind not in self.collections or update.age_ms < 0:
@@ -131,14 +112,6 @@
         else:
             self._failed_at[kind] = trio.current_time() - outage_age_ms / 1000
 
-    def _exchange_observations(self, observed: Iterable[ObservedReplica]) -> None:
-        """Collect this VM's observations, and apply the new ones among those of a peer."""
-        if self._observer is None:
-            return
-        self._observations.merge(self._observer.list_observations())
-        added = self._observations.merge(decode_observations(observed))
-        self._observer.apply_observations(added)
-
     def _has_newer_revision(self, request: FollowRequest) -> bool:
         return any(
             collection.revision > request.revisions.get(kind.value, 0) and collection.is_known
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -70,6 +70,8 @@
         Source of the random part of the score.
     rate_shares : RateShares, optional
         This VM's shares of the limits that replicas name; equal shares if it is left out.
+    versions : VersionShares, optional
+        The version moves; none are known at first if it is left out.
     """
 
     def __init__(
@@ -79,8 +81,9 @@
         events: EventSink,
         random: Random,
         rate_shares: RateShares | None = None,
+        versions: VersionShares | None = None,
     ) -> None:
-        self.versions = VersionShares(events)
+        self.versions = versions or VersionShares(events)
         self._rate_shares = rate_shares or EqualRateShares(count_vms)
         self._data_centre = data_centre
         self._count_vms = count_vms
--- a/libs/sending/src/zinnia_sending/versions.py
+++ b/libs/sending/src/zinnia_sending/versions.py
@@ -1,40 +1,42 @@
 """Version moves: the request share of a new version, and the evidence for rejecting it."""
 
-from dataclasses import dataclass
+from __future__ import annotations
 
-from zinnia_catalog.ids import ServiceName, VersionId
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from zinnia_catalog.evidence import AnswerCounts, Evidence, EvidencePool
+from zinnia_catalog.ids import ProcessId, ServiceName, VersionId
 from zinnia_catalog.releases import ReleaseOrder, ReleaseState
 from zinnia_sending.events import EventSink
 
 # Fraction of the requests of its service that a new version gets until its move is decided.
 CANARY_SHARE = 0.06
-# This VM rejects the new version after at least this many bad answers that are at least this
-# fraction of its answers.
+# The new version is rejected after at least this many bad answers that are at least this fraction
+# of its answers.
 BAD_ANSWERS_TO_REJECT = 3
 BAD_FRACTION_TO_REJECT = 0.15
 # An answer is bad if it is a failure or its latency is more than this many times the typical one.
 SLOW_FACTOR = 3.0
 # The fraction of bad answers must exceed that of the other versions by this factor.
 BAD_RATIO_TO_REJECT = 3.0
+# Process of a VM that pools no evidence with others.
+UNNAMED_PROCESS = ProcessId("")
 
 
 @dataclass(slots=True)
 class VersionMove:
-    """Sends and answers that this VM has counted during the version move of one service.
+    """Sends of this VM, and answers of all VMs, during the version move of one service.
 
-    ``sent_new``, ``good`` and ``bad`` are counts of the new version, ``others_good`` and
-    ``others_bad`` of the other versions; ``sent`` counts the requests to all versions.
+    ``sent_new`` counts the sends to the new version, ``sent`` those to all versions.
     """
 
     order: ReleaseOrder
     started_at: float
     sent: int = 0
     sent_new: int = 0
-    good: int = 0
-    bad: int = 0
-    others_good: int = 0
-    others_bad: int = 0
     is_rejected: bool = False
+    evidence: EvidencePool = field(default_factory=EvidencePool)
 
     @property
     def share(self) -> float:
@@ -45,22 +47,34 @@
             return 1.0
         return CANARY_SHARE
 
-    @property
-    def is_significantly_bad(self) -> bool:
-        """Whether the new version has too many bad answers, also compared with the others."""
-        answers = self.good + self.bad
-        if self.bad < BAD_ANSWERS_TO_REJECT or self.bad < BAD_FRACTION_TO_REJECT * answers:
-            return False
-        others = self.others_good + self.others_bad
-        others_bad_fraction = self.others_bad / others if others else 0.0
-        return self.bad / answers > BAD_RATIO_TO_REJECT * others_bad_fraction
+    def count_answer(self, is_new: bool, is_bad: bool) -> None:
+        """Count an answer that this VM has received."""
+        own = self.evidence.own
+        if is_new:
+            own = replace(own, good=own.good + (not is_bad), bad=own.bad + is_bad)
+        else:
+            own = replace(
+                own,
+                others_good=own.others_good + (not is_bad),
+                others_bad=own.others_bad + is_bad,
+            )
+        self.evidence.own = own
 
 
 class VersionShares:
-    """Enforces the request shares of version moves on this VM, and rejects bad new versions."""
+    """Enforces the request shares of version moves on this VM, and rejects bad new versions.
+
+    Parameters
+    ----------
+    events : EventSink
+        Receives changes of orders, and rejections.
+    process : ProcessId
+        This process; the counts of each process are pooled.
+    """
 
-    def __init__(self, events: EventSink) -> None:
+    def __init__(self, events: EventSink, process: ProcessId = UNNAMED_PROCESS) -> None:
         self._events = events
+        self._process = process
         self._moves: dict[ServiceName, VersionMove] = {}
 
     def change_order(self, service: ServiceName, order: ReleaseOrder | None, now: float) -> None:
@@ -76,6 +90,7 @@
         else:
             known.order = order
         move = self._moves.get(service, known)
+        own = move.evidence.own if move else AnswerCounts()
         self._events.note(
             "release_changed",
             service=service,
@@ -83,8 +98,8 @@
             state=order.state.value if order else "withdrawn",
             sent=move.sent if move else 0,
             sent_new=move.sent_new if move else 0,
-            good=move.good if move else 0,
-            bad=move.bad if move else 0,
+            good=own.good,
+            bad=own.bad,
         )
 
     def list_moves(self) -> list[VersionMove]:
@@ -114,15 +129,83 @@
         move = self._moves.get(service)
         if move is None:
             return
-        is_bad = not is_answered or slowness > SLOW_FACTOR
-        if version != move.order.target:
-            move.others_bad += is_bad
-            move.others_good += not is_bad
+        is_new = version == move.order.target
+        move.count_answer(is_new, not is_answered or slowness > SLOW_FACTOR)
+        if is_new:
+            self._judge(move)
+
+    def list_evidence(self, now: float) -> list[Evidence]:
+        """Return the counts of this process, and recently changed ones of other processes."""
+        rows = []
+        for move in self._moves.values():
+            if not move.order.is_open:
+                continue
+            own = self._make_evidence(move, self._process, move.evidence.own, now)
+            rows.append(replace(own, is_rejected=move.is_rejected))
+            for process, counts in move.evidence.list_recent(now):
+                rows.append(self._make_evidence(move, process, counts, now))
+        return rows
+
+    def list_totals(self, now: float) -> list[Evidence]:
+        """Return the pooled counts of all processes."""
+        rows = []
+        for move in self._moves.values():
+            if move.order.is_open:
+                row = self._make_evidence(move, None, move.evidence.total, now)
+                rows.append(replace(row, is_rejected=move.is_rejected))
+        return rows
+
+    def merge_evidence(self, evidence: Iterable[Evidence], now: float) -> None:
+        """Merge evidence of other VMs; reject new versions that look bad or that they rejected."""
+        for row in evidence:
+            move = self._moves.get(row.service)
+            if move is None or move.order.target != row.target or not move.order.is_open:
+                continue
+            move.started_at = min(move.started_at, now - row.age_s)
+            if row.process is None:
+                move.evidence.merge_total(row.counts)
+            elif row.process != self._process:
+                move.evidence.merge_process(row.process, row.counts, now)
+            if row.is_rejected:
+                self._reject(move, True)
+            else:
+                self._judge(move)
+
+    def _make_evidence(
+        self, move: VersionMove, process: ProcessId | None, counts: AnswerCounts, now: float
+    ) -> Evidence:
+        order = move.order
+        return Evidence(
+            order.service, order.target, process, counts, age_s=max(0.0, now - move.started_at)
+        )
+
+    def _judge(self, move: VersionMove) -> None:
+        if move.order.is_open and looks_bad(move.evidence.total, BAD_ANSWERS_TO_REJECT):
+            self._reject(move, False)
+
+    def _reject(self, move: VersionMove, was_told: bool) -> None:
+        """Reject the new version, on this VM's own judgement or as another VM ``was_told`` of."""
+        if move.is_rejected:
             return
-        move.bad += is_bad
-        move.good += not is_bad
-        if move.order.is_open and not move.is_rejected and move.is_significantly_bad:
-            move.is_rejected = True
-            self._events.note(
-                "version_rejected", service=service, version=version, bad=move.bad, good=move.good
-            )
+        move.is_rejected = True
+        total, own = move.evidence.total, move.evidence.own
+        self._events.note(
+            "version_rejected",
+            service=move.order.service,
+            version=move.order.target,
+            bad=total.bad,
+            good=total.good,
+            own_bad=own.bad,
+            own_good=own.good,
+            by_peer=was_told,
+        )
+
+
+def looks_bad(counts: AnswerCounts, min_bad: int) -> bool:
+    """Return whether a new version has too many bad answers, also compared with the others.
+
+    With fewer than ``min_bad`` bad answers the counts are taken for chance.
+    """
+    if counts.bad < min_bad or counts.bad_fraction < BAD_FRACTION_TO_REJECT:
+        return False
+    return counts.bad_fraction > BAD_RATIO_TO_REJECT * counts.others_bad_fraction
--- a/libs/sending/tests/test_versions.py
+++ b/libs/sending/tests/test_versions.py
@@ -1,5 +1,6 @@
 import unittest
 
+from zinnia_catalog.evidence import AnswerCounts, Evidence
 from zinnia_catalog.releases import ReleaseOrder, ReleaseState
 from zinnia_sending.events import NullSink
 from zinnia_sending.versions import VersionShares
@@ -48,3 +49,48 @@
         """Guards against a request share that stays small after the move is done."""
         self.shares.change_order("s", make_order(ReleaseState.DONE), 5.0)
         self.assertIsNone(self.shares.find_excluded_version("s"))
+
+    def make_evidence(self, process, good, bad, is_rejected=False, target="v2"):
+        counts = AnswerCounts(good, bad)
+        return Evidence("s", target, process, counts, is_rejected, 2.0)
+
+    def test_version_is_rejected_on_the_answers_of_several_processes(self):
+        """Load pattern: each VM gets one or two answers of a bad version."""
+        self.record("v2", 0, 1)
+        self.shares.merge_evidence([self.make_evidence("b", 1, 1)], 1.0)
+        self.assertFalse(self.shares.list_moves()[0].is_rejected)
+        self.shares.merge_evidence([self.make_evidence("c", 1, 1)], 1.0)
+        self.assertTrue(self.shares.list_moves()[0].is_rejected)
+
+    def test_repeated_evidence_counts_once(self):
+        """Guards against a good version that is rejected because one bad answer counts often."""
+        self.record("v2", 1, 1)
+        for _ in range(5):
+            self.shares.merge_evidence([self.make_evidence("b", 1, 1)], 1.0)
+            self.shares.merge_evidence([self.make_evidence(None, 2, 2)], 1.0)
+        self.assertEqual(AnswerCounts(2, 2), self.shares.list_moves()[0].evidence.total)
+
+    def test_own_counts_that_come_back_from_a_peer_count_once(self):
+        """Guards against counting own answers again when a peer sends them on."""
+        self.record("v2", 1, 1)
+        own = self.shares.list_evidence(1.0)
+        self.shares.merge_evidence(own, 1.0)
+        self.assertEqual(AnswerCounts(1, 1), self.shares.list_moves()[0].evidence.total)
+
+    def test_rejection_of_another_vm_holds_here(self):
+        """Load pattern: another VM has rejected the version and can't write that to the store."""
+        self.shares.merge_evidence([self.make_evidence("b", 4, 0, is_rejected=True)], 1.0)
+        self.assertEqual("v2", self.shares.find_excluded_version("s"))
+
+    def test_evidence_of_another_version_is_ignored(self):
+        """Load pattern: a VM that was cut off still has the order before this one."""
+        late = self.make_evidence("b", 0, 9, is_rejected=True, target="v1")
+        self.shares.merge_evidence([late], 1.0)
+        self.assertFalse(self.shares.list_moves()[0].is_rejected)
+
+    def test_age_of_an_order_is_that_of_the_vm_that_knows_it_longest(self):
+        """Load pattern: VMs restart during a release. Guards against a move that is never done."""
+        self.shares.change_order("s", None, 9.0)
+        self.shares.change_order("s", make_order(), 9.0)
+        self.shares.merge_evidence([self.make_evidence("b", 1, 0)], 10.0)
+        self.assertEqual(8.0, self.shares.list_moves()[0].started_at)
