Give a new version enough first requests to judge it by

Cause: 6% of the requests of a service with 20 a second are 14 requests in 12 s. The bounds allow a share of the requests and a number beside it, and only the share was used.

Change: until a new version has got half of that number from all VMs, it gets a fifth of the requests. The bounds are read from the settings, with today's figures as defaults. Sends are pooled like answers, so a version that never answers ends the trial too.

--- a/libs/catalog/src/zinnia_catalog/evidence.py
+++ b/libs/catalog/src/zinnia_catalog/evidence.py
@@ -14,12 +14,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerCounts:
-    """Answers of the new version and of the other versions of its service; counts only grow."""
+    """Answers of the new version and of the other versions of its service; counts only grow.
+
+    ``sends`` counts the requests that were sent to the new version, answered or not.
+    """
 
     good: int = 0
     bad: int = 0
     others_good: int = 0
     others_bad: int = 0
+    sends: int = 0
 
     @property
     def answers(self) -> int:
@@ -55,6 +59,7 @@
             operation(self.bad, other.bad),
             operation(self.others_good, other.others_good),
             operation(self.others_bad, other.others_bad),
+            operation(self.sends, other.sends),
         )
 
 
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -129,7 +129,7 @@
             settings.delegate_from,
         )
         limit_shares = LimitShares(settings.vm, self.count_vms, runners)
-        versions = VersionShares(events, make_process_id(settings.vm))
+        versions = VersionShares(events, make_process_id(settings.vm), settings.exposure_bounds)
         self._fleet = Fleet(
             settings.data_centre, self.count_vms, events, self._random, limit_shares, versions
         )
@@ -220,6 +220,7 @@
             store=self._settings.store,
         )
         self._retry_budget.bounds = settings.retry_bounds
+        self._fleet.versions.bounds = settings.exposure_bounds
         self._source_controller.seeds = settings.seeds
         self.events.note("reload", reason=cause, changed=changed)
 
--- a/libs/entry/src/zinnia_entry/settings.py
+++ b/libs/entry/src/zinnia_entry/settings.py
@@ -4,6 +4,7 @@
 
 from zinnia_catalog.ids import DataCentreId, VmName
 from zinnia_sending.budgets import RetryBounds
+from zinnia_sending.versions import ExposureBounds
 
 # Delegating a smaller fan-out isn't worth the extra hop: any VM sends it in a few milliseconds.
 MIN_SHARDS_TO_DELEGATE = 48
@@ -46,6 +47,7 @@
     capacity: float = 1.0
     delegate_from: int = MIN_SHARDS_TO_DELEGATE
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    exposure_bounds: ExposureBounds = ExposureBounds()
 
 
 class SettingsError(Exception):
--- a/libs/entry/tests/release_fleet.py
+++ b/libs/entry/tests/release_fleet.py
@@ -86,6 +86,7 @@
         self.size = vms
         self.restarts_at = []
         self.sent = {OLD: 0, NEW: 0}
+        self.new_sends_before_end = 0
 
     def run(self):
         """Run until the due time; return the state of the release."""
@@ -143,6 +144,8 @@
             is_done = self.store.order.state is ReleaseState.DONE
             version = NEW if is_done or self.random.random() < 0.7 else OLD
         self.sent[version] += 1
+        if self.store.order.is_open:
+            self.new_sends_before_end = self.sent[NEW]
         vm.versions.count_send(SERVICE, version)
         bad = self.bad_fraction(now) if version == NEW else self.others_bad_fraction
         failure = "status 500" if self.random.random() < bad else None
--- a/libs/entry/tests/test_release_fleet.py
+++ b/libs/entry/tests/test_release_fleet.py
@@ -61,3 +61,14 @@
         """
         fleet = ReleaseFleet(72, 40.0, 32.0, lambda now: 0.5 if now > 20.0 else 0.0)
         self.assertIs(ReleaseState.TAKEN_BACK, fleet.run())
+
+    def test_version_that_fails_a_part_of_few_requests_is_found(self):
+        """Load pattern: a service gets 12 requests a second; two of five new answers are bad.
+
+        Guards against a decision on ten answers, of which by chance only two are bad.
+        """
+        states = [
+            ReleaseFleet(8, 12.0, DURATION_S, lambda now: 0.4, 0.02, seed=seed).run()
+            for seed in range(20)
+        ]
+        self.assertGreaterEqual(states.count(ReleaseState.TAKEN_BACK), 19)
--- a/libs/relay/src/zinnia_relay/exchange.py
+++ b/libs/relay/src/zinnia_relay/exchange.py
@@ -42,6 +42,7 @@
         (7, TType.I64, "others_bad", None, None),
         (8, TType.BOOL, "is_rejected", None, None),
         (9, TType.I64, "age_ms", None, None),
+        (10, TType.I64, "sends", None, None),
     )
 
     def __init__(
@@ -55,6 +56,7 @@
         others_bad: int = 0,
         is_rejected: bool = False,
         age_ms: int = 0,
+        sends: int = 0,
     ) -> None:
         self.service = service
         self.target = target
@@ -65,6 +67,7 @@
         self.others_bad = others_bad
         self.is_rejected = is_rejected
         self.age_ms = age_ms
+        self.sends = sends
 
 
 class Findings(TBase):
@@ -188,6 +191,7 @@
             item.counts.others_bad,
             item.is_rejected,
             int(item.age_s * 1000),
+            item.counts.sends,
         )
         for item in evidence
     ]
@@ -200,7 +204,7 @@
             ServiceName(item.service),
             VersionId(item.target),
             ProcessId(item.process) if item.process else None,
-            AnswerCounts(item.good, item.bad, item.others_good, item.others_bad),
+            AnswerCounts(item.good, item.bad, item.others_good, item.others_bad, item.sends),
             bool(item.is_rejected),
             item.age_ms / 1000,
         )
--- a/libs/sending/src/zinnia_sending/versions.py
+++ b/libs/sending/src/zinnia_sending/versions.py
@@ -11,25 +11,40 @@
 from zinnia_sending.events import EventSink
 from zinnia_sending.verdicts import VersionJudge
 
-# Fraction of the requests of its service that a new version gets until its move is decided.
-CANARY_SHARE = 0.06
+# Fraction of the allowed share that a new version gets until its move is decided.
+USED_SHARE_FRACTION = 0.6
+# Until it has got this fraction of the allowed slack in requests, it gets a larger share: a
+# service with few requests would otherwise give too few answers to judge by.
+TRIAL_SLACK_FRACTION = 0.5
+TRIAL_SHARE = 0.2
 # An answer is bad if it is a failure or its latency is more than this many times the typical one.
 SLOW_FACTOR = 3.0
 # Process of a VM that pools no evidence with others.
 UNNAMED_PROCESS = ProcessId("")
 
 
+@dataclass(frozen=True, slots=True)
+class ExposureBounds:
+    """Limit on the requests that an undecided version may get over all VMs.
+
+    It may get ``share`` of the requests of its service, and ``slack`` more.
+    """
+
+    share: float = 0.1
+    slack: float = 50.0
+
+
 @dataclass(slots=True)
 class VersionMove:
     """Sends of this VM, and answers of all VMs, during the version move of one service.
 
-    ``sent_new`` counts the sends to the new version, ``sent`` those to all versions.
+    ``sent`` counts the sends of this VM to all versions.
     """
 
     order: ReleaseOrder
     started_at: float
+    bounds: ExposureBounds
     sent: int = 0
-    sent_new: int = 0
     is_rejected: bool = False
     evidence: EvidencePool = field(default_factory=EvidencePool)
     judge: VersionJudge = field(default_factory=VersionJudge)
@@ -41,7 +56,16 @@
             return 0.0
         if self.order.state is ReleaseState.DONE:
             return 1.0
-        return CANARY_SHARE
+        if self.evidence.total.sends < TRIAL_SLACK_FRACTION * self.bounds.slack:
+            return TRIAL_SHARE
+        return USED_SHARE_FRACTION * self.bounds.share
+
+    def count_send(self, is_new: bool) -> None:
+        """Count a request that is about to be sent."""
+        self.sent += 1
+        if is_new:
+            own = self.evidence.own
+            self.evidence.own = replace(own, sends=own.sends + 1)
 
     def count_answer(self, is_new: bool, is_bad: bool) -> None:
         """Count an answer that this VM has received."""
@@ -66,9 +90,17 @@
         Receives changes of orders, and rejections.
     process : ProcessId
         This process; the counts of each process are pooled.
+    bounds : ExposureBounds, optional
+        Limit on the requests to undecided versions.
     """
 
-    def __init__(self, events: EventSink, process: ProcessId = UNNAMED_PROCESS) -> None:
+    def __init__(
+        self,
+        events: EventSink,
+        process: ProcessId = UNNAMED_PROCESS,
+        bounds: ExposureBounds | None = None,
+    ) -> None:
+        self.bounds = bounds or ExposureBounds()
         self._events = events
         self._process = process
         self._moves: dict[ServiceName, VersionMove] = {}
@@ -82,7 +114,7 @@
         if order is None:
             self._moves.pop(service, None)
         elif known is None or known.order.target != order.target:
-            self._moves[service] = VersionMove(order, now)
+            self._moves[service] = VersionMove(order, now, self.bounds)
         else:
             known.order = order
         move = self._moves.get(service, known)
@@ -93,7 +125,7 @@
             target=order.target if order else None,
             state=order.state.value if order else "withdrawn",
             sent=move.sent if move else 0,
-            sent_new=move.sent_new if move else 0,
+            sent_new=own.sends,
             good=own.good,
             bad=own.bad,
         )
@@ -107,7 +139,8 @@
         move = self._moves.get(service)
         if move is None or move.share >= 1.0:
             return None
-        if move.share > 0 and move.sent_new < move.share * (move.sent + 1):
+        sent_new = move.evidence.own.sends
+        if move.share > 0 and sent_new < move.share * (move.sent + 1):
             return None
         return move.order.target
 
@@ -115,8 +148,7 @@
         """Count a request that is about to be sent to a version."""
         move = self._moves.get(service)
         if move is not None:
-            move.sent += 1
-            move.sent_new += version == move.order.target
+            move.count_send(version == move.order.target)
 
     def record(
         self,
