Count the share of a new version over all processes

Change: each send adds the share to a credit that starts at random, and a send to the new version needs a whole one. So any number of processes keeps the share on average, and a restart gains nothing. The pool keeps the sum of the other processes' counts.

Evidence: test_processes_that_send_little_keep_the_share_together and the fleet test with a good version at 195 VMs (99 requests where 74 are allowed) fail before and pass now.

--- a/libs/catalog/src/zinnia_catalog/evidence.py
+++ b/libs/catalog/src/zinnia_catalog/evidence.py
@@ -95,22 +95,22 @@
 
     own: AnswerCounts = AnswerCounts()
     _others: dict[ProcessId, _ProcessCounts] = field(default_factory=dict)
+    _others_total: AnswerCounts = AnswerCounts()
     _heard: AnswerCounts = AnswerCounts()
 
     @property
     def total(self) -> AnswerCounts:
         """Counts of all processes, as far as they are known."""
-        total = self.own
-        for other in self._others.values():
-            total = total.add(other.counts)
-        return total.merge(self._heard)
+        return self.own.add(self._others_total).merge(self._heard)
 
     def merge_process(self, process: ProcessId, counts: AnswerCounts, now: float) -> None:
         """Merge the counts of another process."""
-        known = self._others.get(process)
-        merged = counts if known is None else known.counts.merge(counts)
-        if known is None or merged != known.counts:
+        other = self._others.get(process)
+        known = other.counts if other else AnswerCounts()
+        merged = known.merge(counts)
+        if other is None or merged != known:
             self._others[process] = _ProcessCounts(merged, now)
+            self._others_total = self._others_total.add(merged.subtract(known))
 
     def merge_total(self, counts: AnswerCounts) -> None:
         """Merge the total of another VM."""
--- a/libs/entry/tests/release_fleet.py
+++ b/libs/entry/tests/release_fleet.py
@@ -43,8 +43,7 @@
     """One process of a VM: its shares of the versions, its driver and its findings."""
 
     def __init__(self, process, store, rank, random):
-        self.versions = VersionShares(NullSink(), process)
-        self.versions.random = random
+        self.versions = VersionShares(NullSink(), process, random=random)
         self.order = None
         self.driver = ReleaseDriver(
             self.versions, store, lambda: rank, NullSink(), trio.current_time
--- a/libs/entry/tests/test_release_fleet.py
+++ b/libs/entry/tests/test_release_fleet.py
@@ -72,3 +72,11 @@
             for seed in range(20)
         ]
         self.assertGreaterEqual(states.count(ReleaseState.TAKEN_BACK), 19)
+
+    def test_good_version_stays_within_its_share_until_it_is_done(self):
+        """Load pattern: as above, with a good version, which might turn bad at any time."""
+        for vms in FLEET_SIZES:
+            fleet = ReleaseFleet(vms, REQUESTS_PER_S, DURATION_S, lambda now: 0.0)
+            with self.subTest(vms=vms):
+                fleet.run()
+                self.assertLessEqual(fleet.new_sends_before_end, fleet.allowed_new_sends)
--- a/libs/sending/src/zinnia_sending/versions.py
+++ b/libs/sending/src/zinnia_sending/versions.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from random import Random
 
 from zinnia_catalog.evidence import AnswerCounts, Evidence, EvidencePool
 from zinnia_catalog.ids import ProcessId, ServiceName, VersionId
@@ -17,6 +18,8 @@
 # service with few requests would otherwise give too few answers to judge by.
 TRIAL_SLACK_FRACTION = 0.5
 TRIAL_SHARE = 0.2
+# Sends to a new version that a VM may make up for if its replicas could not be used for a while.
+MAX_CREDIT = 2.0
 # An answer is bad if it is a failure or its latency is more than this many times the typical one.
 SLOW_FACTOR = 3.0
 # Process of a VM that pools no evidence with others.
@@ -38,12 +41,14 @@
 class VersionMove:
     """Sends of this VM, and answers of all VMs, during the version move of one service.
 
-    ``sent`` counts the sends of this VM to all versions.
+    ``sent`` counts the sends of this VM to all versions. Each of them adds the new version's share
+    to ``credit``; a send to the new version takes a whole one.
     """
 
     order: ReleaseOrder
     started_at: float
     bounds: ExposureBounds
+    credit: float = 0.0
     sent: int = 0
     is_rejected: bool = False
     evidence: EvidencePool = field(default_factory=EvidencePool)
@@ -63,6 +68,7 @@
     def count_send(self, is_new: bool) -> None:
         """Count a request that is about to be sent."""
         self.sent += 1
+        self.credit = min(MAX_CREDIT, self.credit + self.share - is_new)
         if is_new:
             own = self.evidence.own
             self.evidence.own = replace(own, sends=own.sends + 1)
@@ -92,6 +98,8 @@
         This process; the counts of each process are pooled.
     bounds : ExposureBounds, optional
         Limit on the requests to undecided versions.
+    random : Random, optional
+        Source of the credit with which a move starts.
     """
 
     def __init__(
@@ -99,8 +107,10 @@
         events: EventSink,
         process: ProcessId = UNNAMED_PROCESS,
         bounds: ExposureBounds | None = None,
+        random: Random | None = None,
     ) -> None:
         self.bounds = bounds or ExposureBounds()
+        self._random = random or Random()
         self._events = events
         self._process = process
         self._moves: dict[ServiceName, VersionMove] = {}
@@ -114,7 +124,8 @@
         if order is None:
             self._moves.pop(service, None)
         elif known is None or known.order.target != order.target:
-            self._moves[service] = VersionMove(order, now, self.bounds)
+            # Credits start at random, so that many processes with few requests keep the share.
+            self._moves[service] = VersionMove(order, now, self.bounds, self._random.random())
         else:
             known.order = order
         move = self._moves.get(service, known)
@@ -139,10 +150,8 @@
         move = self._moves.get(service)
         if move is None or move.share >= 1.0:
             return None
-        sent_new = move.evidence.own.sends
-        if move.share > 0 and sent_new < move.share * (move.sent + 1):
-            return None
-        return move.order.target
+        has_credit = move.share > 0 and move.credit + move.share >= 1.0
+        return None if has_credit else move.order.target
 
     def count_send(self, service: ServiceName, version: VersionId) -> None:
         """Count a request that is about to be sent to a version."""
--- a/libs/sending/tests/test_versions.py
+++ b/libs/sending/tests/test_versions.py
@@ -1,9 +1,13 @@
 import unittest
+from random import Random
 
 from zinnia_catalog.evidence import AnswerCounts, Evidence
+from zinnia_catalog.ids import ProcessId
 from zinnia_catalog.releases import ReleaseOrder, ReleaseState
 from zinnia_sending.events import NullSink
-from zinnia_sending.versions import VersionShares
+from zinnia_sending.versions import ExposureBounds, VersionShares
+
+BOUNDS = ExposureBounds(share=0.1, slack=0.0)
 
 
 def make_order(state=ReleaseState.RUNNING):
@@ -95,3 +99,27 @@
         self.shares.change_order("s", make_order(), 9.0)
         self.shares.merge_evidence([self.make_evidence("b", 1, 0)], 10.0)
         self.assertEqual(8.0, self.shares.list_moves()[0].started_at)
+
+    def count_new_sends(self, processes, requests):
+        """Return how many requests the new version gets if each process sends some."""
+        sent_new = 0
+        for number in range(processes):
+            process = ProcessId(f"vm-{number}")
+            shares = VersionShares(NullSink(), process, BOUNDS, Random(number))
+            shares.change_order("s", make_order(), 0.0)
+            for _ in range(requests):
+                version = "v1" if shares.find_excluded_version("s") else "v2"
+                sent_new += version == "v2"
+                shares.count_send("s", version)
+        return sent_new
+
+    def test_processes_that_send_little_keep_the_share_together(self):
+        """Load pattern: 195 VMs share few requests, or VMs are killed and start again in series.
+
+        Guards against a bad version that gets the first request of each process.
+        """
+        for processes, requests in ((195, 1), (195, 4), (40, 20), (8, 300)):
+            with self.subTest(processes=processes, requests=requests):
+                sent_new = self.count_new_sends(processes, requests)
+                self.assertLessEqual(sent_new, BOUNDS.share * processes * requests + 5)
+                self.assertGreater(sent_new, 0.3 * BOUNDS.share * processes * requests)
