--- a/libs/entry/src/zinnia_entry/feeds.py
+++ b/libs/entry/src/zinnia_entry/feeds.py
@@ -47,6 +47,7 @@
         watch_from: float = 0.0,
     ) -> None:
         self.is_unavailable = False
+        self._is_behind = False
         self._watch_from = watch_from
         self._kind = kind
         self._store = store
@@ -80,7 +81,9 @@
     async def _fetch_changes(self) -> bool:
         collection = self._store_cache.collections[self._kind]
         if self._must_list:
-            changes = collection.replace(await self._store.list(self._kind))
+            listing = await self._store.list(self._kind)
+            self._note_revision(listing.revision, collection.revision)
+            changes = collection.replace(listing)
             self._must_list = False
         else:
             timeout_s = WATCH_TIMEOUT_S[self._kind]
@@ -99,6 +102,14 @@
         await trio.sleep_until(self._watch_from)
         return timeout_s
 
+    def _note_revision(self, revision: int, known_revision: int) -> None:
+        """Log that the store's revision is below the known one, once until it is not anymore."""
+        is_behind, self._is_behind = self._is_behind, revision < known_revision
+        if self._is_behind and not is_behind:
+            self._events.note(
+                "store_behind", kind=self._kind.value, revision=revision, known=known_revision
+            )
+
     def _note_failure(self, error: StoreError) -> None:
         self._store_cache.note_failure(self._kind)
         self._metrics.count_store_call(self._kind.value, "failed")
--- a/libs/entry/tests/test_feeds.py
+++ b/libs/entry/tests/test_feeds.py
@@ -60,6 +60,13 @@
         store_cache = self.run_feed(1.0)
         self.assertEqual({}, store_cache.collections[KIND].objects)
 
+    def test_listing_at_a_lower_revision_is_logged_once(self):
+        """Load pattern: the store was restored from a copy. Guards against a log without a cause."""
+        self.store.lists = [Listing((make_object("a", 4),), 7), *[Listing((), 6)] * 5]
+        self.store.watches = [HistoryLostError()] * 5 + self.fail_after([])
+        self.run_feed(2.0)
+        self.assertEqual(1, self.events.list_events().count("store_behind"))
+
     def test_start_and_end_of_an_outage_are_each_logged_once(self):
         """Load pattern: the store is down for seconds. Guards against a log line for each retry."""
         self.store.lists = [StoreError("unavailable")] * 3 + [Listing((), 5)]
