--- a/libs/entry/tests/test_feeds.py
+++ b/libs/entry/tests/test_feeds.py
@@ -61,7 +61,7 @@
         self.assertEqual({}, store_cache.collections[KIND].objects)
 
     def test_listing_at_a_lower_revision_is_logged_once(self):
-        """Load pattern: the store was restored from a copy. Guards against a log without a cause."""
+        """Load pattern: the store was restored. Guards against a log that lacks the cause."""
         self.store.lists = [Listing((make_object("a", 4),), 7), *[Listing((), 6)] * 5]
         self.store.watches = [HistoryLostError()] * 5 + self.fail_after([])
         self.run_feed(2.0)
