Follow a store that was restored from a copy at its new revisions

Cause: the copy of the store on each VM compared revisions across a restoration. Listings at a lower revision were ignored, though their call confirmed the copy as current; once the store's revisions were as high as before, a watch went on from a revision that now had other contents.

Change: a position in the store is an era and a revision, everywhere: replies of the store, the copy of each kind and its history, and what followers ask of their watchers. A higher era replaces what is known, a lower one changes and confirms nothing. A listing that is behind is an error now, with delays, and confirms nothing.

Why it works: revisions order the writes of one era only; the era orders the restorations.

--- a/libs/catalog/src/zinnia_catalog/objects.py
+++ b/libs/catalog/src/zinnia_catalog/objects.py
@@ -18,6 +18,18 @@
     MEMBERS = "members"
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StorePosition:
+    """A revision of the store in one of its eras.
+
+    A store that is restored from an older copy begins a new era, which is higher by one, and gives
+    revisions out again. So revisions are compared within an era only.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class StoredObject:
     """One object: its name, the store revision of its last change, and its spec and status."""
@@ -42,14 +54,26 @@
 
     objects: tuple[StoredObject, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The era and the revision."""
+        return StorePosition(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes of one kind between an earlier revision and ``revision``."""
+    """Changes of one kind between an earlier revision and ``revision``, in one era."""
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The era and the revision."""
+        return StorePosition(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +90,10 @@
 
 
 class HistoryLostError(Exception):
-    """The store no longer keeps the changes after a revision; list the objects again."""
+    """The store doesn't keep the changes after a revision, or doesn't have the revision anymore.
+
+    The objects have to be listed again.
+    """
 
 
 class WriteConflictError(Exception):
@@ -93,7 +120,7 @@
         Raises
         ------
         HistoryLostError
-            The store no longer keeps the changes after this revision.
+            The store doesn't have the changes after this revision.
         StoreError
             The call failed.
         """
--- a/libs/catalog/tests/test_collections.py
+++ b/libs/catalog/tests/test_collections.py
@@ -1,7 +1,14 @@
 import unittest
 
 from zinnia_catalog.collections import MAX_HISTORY_CHANGES, Collection
-from zinnia_catalog.objects import Change, Changes, Listing, ObjectKind, StoredObject
+from zinnia_catalog.objects import (
+    Change,
+    Changes,
+    Listing,
+    ObjectKind,
+    StoredObject,
+    StorePosition,
+)
 
 
 def make_object(name, revision, spec=None):
@@ -51,16 +58,18 @@
         collection = make_collection(make_object("a", 5))
         collection.advance(Changes((Change(make_object("b", 11), False),), 11))
         collection.advance(Changes((Change(make_object("c", 12), False),), 12))
-        names = [change.object.name for change in collection.find_changes(11).changes]
+        names = [
+            change.object.name for change in collection.find_changes(StorePosition(0, 11)).changes
+        ]
         self.assertEqual(["c"], names)
 
     def test_revision_before_the_history_needs_a_listing(self):
         """Guards against a follower that misses changes dropped from the history."""
         collection = make_collection(revision=10)
-        self.assertIsNone(collection.find_changes(9))
+        self.assertIsNone(collection.find_changes(StorePosition(0, 9)))
         for revision in range(11, 11 + MAX_HISTORY_CHANGES + 1):
             collection.advance(Changes((Change(make_object("a", revision), False),), revision))
-        self.assertIsNone(collection.find_changes(10))
+        self.assertIsNone(collection.find_changes(StorePosition(0, 10)))
 
     def test_listing_after_a_lost_history_is_recorded_as_changes(self):
         """Load pattern: the store drops its history while many VMs follow a watcher.
@@ -69,7 +78,7 @@
         """
         collection = make_collection(make_object("a", 5), make_object("b", 6))
         collection.replace(Listing((make_object("b", 6), make_object("c", 15)), 20))
-        found = collection.find_changes(10).changes
+        found = collection.find_changes(StorePosition(0, 10)).changes
         self.assertEqual(
             [("a", True), ("c", False)], [(c.object.name, c.is_deleted) for c in found]
         )
@@ -83,5 +92,37 @@
         for revision in range(11, 20):
             update = Changes((Change(make_object("a", revision), False),), revision)
             collection.advance(update)
-        found = collection.find_changes(10).changes
+        found = collection.find_changes(StorePosition(0, 10)).changes
         self.assertEqual([19], [change.object.revision for change in found])
+
+    def test_listing_of_a_new_era_counts_though_its_revision_is_lower(self):
+        """Load pattern: the store was restored from a copy and gives its revisions out again.
+
+        Guards against a VM that ignores the store until its revisions are as high as before.
+        """
+        collection = make_collection(make_object("a", 15, "old"), revision=20)
+        changes = collection.replace(Listing((make_object("a", 12, "new"),), 13, era=1))
+        self.assertEqual(["new"], [change.object.spec for change in changes])
+        update = Changes((Change(make_object("a", 14, "newer"), False),), 14, era=1)
+        self.assertEqual(1, len(collection.advance(update)))
+
+    def test_revision_of_another_era_needs_a_listing(self):
+        """Load pattern: a follower has revision 20 of the era before; the store is at 25 again.
+
+        Guards against a follower that gets only the changes after a revision that it never had.
+        """
+        collection = make_collection(make_object("a", 15), revision=20)
+        collection.replace(Listing((make_object("a", 12),), 13, era=1))
+        collection.advance(Changes((Change(make_object("b", 25), False),), 25, era=1))
+        self.assertIsNone(collection.find_changes(StorePosition(0, 20)))
+        self.assertIsNone(collection.find_changes(StorePosition(1, 12)))
+        self.assertEqual(1, len(collection.find_changes(StorePosition(1, 13)).changes))
+
+    def test_late_replies_of_an_earlier_era_change_nothing(self):
+        """Guards against a reply from before the store was restored that arrives after it."""
+        collection = make_collection(revision=20)
+        collection.replace(Listing((), 13, era=1))
+        self.assertEqual((), collection.replace(Listing((make_object("a", 30),), 30)))
+        update = Changes((Change(make_object("a", 31), False),), 31)
+        self.assertEqual((), collection.advance(update))
+        self.assertEqual({}, collection.objects)
--- a/libs/entry/src/zinnia_entry/feeds.py
+++ b/libs/entry/src/zinnia_entry/feeds.py
@@ -4,7 +4,13 @@
 
 import trio
 
-from zinnia_catalog.objects import HistoryLostError, ObjectKind, ObjectStore, StoreError
+from zinnia_catalog.objects import (
+    HistoryLostError,
+    ObjectKind,
+    ObjectStore,
+    StoreError,
+    StorePosition,
+)
 from zinnia_entry.metrics import Metrics
 from zinnia_relay.store_cache import StoreCache
 from zinnia_sending.events import EventSink
@@ -82,7 +88,7 @@
         collection = self._store_cache.collections[self._kind]
         if self._must_list:
             listing = await self._store.list(self._kind)
-            self._note_revision(listing.revision, collection.revision)
+            self._check_position(listing.position, collection.position)
             changes = collection.replace(listing)
             self._must_list = False
         else:
@@ -90,6 +96,8 @@
             if trio.current_time() < self._watch_from:
                 timeout_s = await self._wait_to_watch(timeout_s)
             update = await self._store.watch(self._kind, collection.revision, timeout_s)
+            if update.era > collection.position.era:
+                raise HistoryLostError  # The revision of the watch was given out again.
             changes = collection.advance(update)
         self._store_cache.confirm(self._kind, changes)
         return bool(changes)
@@ -102,13 +110,28 @@
         await trio.sleep_until(self._watch_from)
         return timeout_s
 
-    def _note_revision(self, revision: int, known_revision: int) -> None:
-        """Log that the store's revision is below the known one, once until it is not anymore."""
-        is_behind, self._is_behind = self._is_behind, revision < known_revision
-        if self._is_behind and not is_behind:
+    def _check_position(self, position: StorePosition, known: StorePosition) -> None:
+        """Log a new era.
+
+        Raises
+        ------
+        StoreError
+            The store is behind what is known, so its listing must not be used.
+        """
+        if known.era < position.era and known.revision:
+            self._events.note("store_restored", kind=self._kind.value, era=position.era)
+        is_behind, self._is_behind = self._is_behind, position < known
+        if not self._is_behind:
+            return
+        if not is_behind:
             self._events.note(
-                "store_behind", kind=self._kind.value, revision=revision, known=known_revision
+                "store_behind",
+                kind=self._kind.value,
+                era=position.era,
+                revision=position.revision,
+                known=known.revision,
             )
+        raise StoreError("its listing is behind what is known")
 
     def _note_failure(self, error: StoreError) -> None:
         self._store_cache.note_failure(self._kind)
--- a/libs/entry/tests/test_feeds.py
+++ b/libs/entry/tests/test_feeds.py
@@ -37,6 +37,7 @@
             feed = StoreFeed(KIND, self.store, store_cache, Metrics(), self.events, Random(1))
             with trio.move_on_after(seconds):
                 await feed.run()
+            store_cache.ages = {KIND: store_cache.get_age(KIND)}
             return store_cache
 
         return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -67,6 +68,42 @@
         self.run_feed(2.0)
         self.assertEqual(1, self.events.list_events().count("store_behind"))
 
+    def test_listing_that_is_behind_does_not_confirm_the_copy(self):
+        """Guards against a copy that counts as current because an ignored call was answered."""
+        self.store.lists = [Listing((), 7), *[Listing((), 6)] * 50]
+        self.store.watches = [HistoryLostError()] + self.fail_after([])
+        store_cache = self.run_feed(6.0)
+        self.assertGreater(store_cache.ages[KIND], 5.0)
+        self.assertLess(len(self.store.calls), 12)
+
+    def test_restored_store_is_followed_at_its_lower_revisions(self):
+        """Load pattern: the store was restored from a copy, and doesn't have the watched revision.
+
+        Guards against VMs that ignore it until its revisions are as high as before.
+        """
+        self.store.lists = [
+            Listing((make_object("a", 4),), 70, 1),
+            Listing((make_object("b", 9),), 9, 2),
+        ]
+        update = Changes((Change(make_object("c", 10), False),), 10, 2)
+        self.store.watches = [HistoryLostError(), update, *self.fail_after([])]
+        store_cache = self.run_feed(1.0)
+        self.assertEqual({"b", "c"}, set(store_cache.collections[KIND].objects))
+        self.assertIn("store_restored", self.events.list_events())
+
+    def test_watched_revision_that_was_given_out_again_is_noticed(self):
+        """Load pattern: the store was restored, and has written as many changes as it had lost.
+
+        Guards against a watch that goes on from a revision with other contents.
+        """
+        self.store.lists = [
+            Listing((make_object("a", 4),), 7, 1),
+            Listing((make_object("b", 7),), 7, 2),
+        ]
+        self.store.watches = [Changes((), 7, 2), *self.fail_after([])]
+        store_cache = self.run_feed(1.0)
+        self.assertEqual({"b"}, set(store_cache.collections[KIND].objects))
+
     def test_start_and_end_of_an_outage_are_each_logged_once(self):
         """Load pattern: the store is down for seconds. Guards against a log line for each retry."""
         self.store.lists = [StoreError("unavailable")] * 3 + [Listing((), 5)]
--- a/libs/relay/src/zinnia_relay/messages.py
+++ b/libs/relay/src/zinnia_relay/messages.py
@@ -1,7 +1,7 @@
 """Messages that relay store changes between VMs, in thrift's compact protocol."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from thrift.protocol.TBase import TBase
@@ -11,7 +11,14 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from zinnia_catalog.collections import Collection
-from zinnia_catalog.objects import Change, Changes, Listing, StoredObject
+from zinnia_catalog.objects import (
+    Change,
+    Changes,
+    Listing,
+    ObjectKind,
+    StoredObject,
+    StorePosition,
+)
 from zinnia_relay.exchange import Findings
 
 # Exceptions that ``decode`` may raise on malformed input.
@@ -48,6 +55,7 @@
 class KindUpdate(TBase):
     """Update of one kind: all objects if ``is_listing``, else the changes up to ``revision``.
 
+    ``era`` is the era of the store to which the revisions belong.
     ``age_ms`` is the time since the store last confirmed this kind to the sender, directly or
     through another VM, -1 if it never did. ``outage_age_ms`` is the time since a call of the store
     for this kind failed, -1 if none has failed.
@@ -67,6 +75,7 @@
         ),
         (5, TType.I64, "age_ms", None, None),
         (6, TType.I64, "outage_age_ms", None, None),
+        (7, TType.I64, "era", None, None),
     )
 
     def __init__(
@@ -77,6 +86,7 @@
         records: list[ObjectRecord] | None = None,
         age_ms: int = 0,
         outage_age_ms: int = -1,
+        era: int = 0,
     ) -> None:
         self.kind = kind
         self.revision = revision
@@ -84,10 +94,19 @@
         self.records = records or []
         self.age_ms = age_ms
         self.outage_age_ms = outage_age_ms
+        self.era = era
+
+    @property
+    def position(self) -> StorePosition:
+        """The era and the revision."""
+        return StorePosition(self.era, self.revision)
 
 
 class FollowRequest(TBase):
-    """Long poll for changes after the given revisions; the reply is due after ``wait_ms``."""
+    """Long poll for changes after the given positions; the reply is due after ``wait_ms``.
+
+    ``revisions`` and ``eras`` hold the revision and the era of each kind.
+    """
 
     thrift_spec = (
         None,
@@ -95,20 +114,27 @@
         (2, TType.MAP, "revisions", (TType.STRING, "UTF8", TType.I64, None, False), None),
         (3, TType.I64, "wait_ms", None, None),
         (4, TType.STRUCT, "findings", [Findings, Findings.thrift_spec], None),
+        (5, TType.MAP, "eras", (TType.STRING, "UTF8", TType.I64, None, False), None),
     )
 
     def __init__(
         self,
         vm: str = "",
-        revisions: dict[str, int] | None = None,
+        positions: Mapping[ObjectKind, StorePosition] | None = None,
         wait_ms: int = 0,
         findings: Findings | None = None,
     ) -> None:
+        known = positions or {}
         self.vm = vm
-        self.revisions = revisions or {}
+        self.revisions = {kind.value: position.revision for kind, position in known.items()}
+        self.eras = {kind.value: position.era for kind, position in known.items()}
         self.wait_ms = wait_ms
         self.findings = findings or Findings()
 
+    def get_position(self, kind: ObjectKind) -> StorePosition:
+        """Return the position of a kind that the sender has."""
+        return StorePosition(self.eras.get(kind.value, 0), self.revisions.get(kind.value, 0))
+
 
 class FollowReply(TBase):
     """Reply to a ``FollowRequest``."""
@@ -146,32 +172,38 @@
 
 
 def make_update(
-    collection: Collection, revision: int, age_ms: int, outage_age_ms: int
+    collection: Collection, position: StorePosition, age_ms: int, outage_age_ms: int
 ) -> KindUpdate:
-    """Return the update that brings a peer from a revision up to date.
+    """Return the update that brings a peer from a position up to date.
 
-    It has all objects if the history of the collection doesn't reach back to the revision.
+    It has all objects if the history of the collection doesn't reach back to the position.
     """
-    kind = collection.kind.value
-    if revision >= collection.revision:
-        return KindUpdate(kind, collection.revision, False, [], age_ms, outage_age_ms)
-    changes = collection.find_changes(revision)
-    is_listing = changes is None
-    if is_listing:
+    update = KindUpdate(
+        collection.kind.value,
+        collection.revision,
+        age_ms=age_ms,
+        outage_age_ms=outage_age_ms,
+        era=collection.position.era,
+    )
+    if position >= collection.position:
+        return update
+    changes = collection.find_changes(position)
+    if changes is None:
+        update.is_listing = True
         selected = [Change(item, False) for item in collection.make_listing().objects]
     else:
         selected = list(changes.changes)
-    records = [_make_record(change) for change in selected]
-    return KindUpdate(kind, collection.revision, is_listing, records, age_ms, outage_age_ms)
+    update.records = [_make_record(change) for change in selected]
+    return update
 
 
 def apply_update(collection: Collection, update: KindUpdate) -> tuple[Change, ...]:
     """Apply an update to a collection; return the changes that took effect."""
     changes = tuple(_read_records(update.records))
     if update.is_listing:
-        listing = Listing(tuple(change.object for change in changes), update.revision)
-        return collection.replace(listing)
-    return collection.advance(Changes(changes, update.revision))
+        objects = tuple(change.object for change in changes)
+        return collection.replace(Listing(objects, update.revision, update.era))
+    return collection.advance(Changes(changes, update.revision, update.era))
 
 
 def _make_record(change: Change) -> ObjectRecord:
--- a/libs/relay/src/zinnia_relay/store_cache.py
+++ b/libs/relay/src/zinnia_relay/store_cache.py
@@ -78,14 +78,14 @@
 
     def make_request(self, vm: str, wait_s: float) -> FollowRequest:
         """Return a request for the changes that this VM lacks, with its findings."""
-        revisions = {kind.value: item.revision for kind, item in self.collections.items()}
-        return FollowRequest(vm, revisions, int(wait_s * 1000), self._findings.make_request())
+        positions = {kind: item.position for kind, item in self.collections.items()}
+        return FollowRequest(vm, positions, int(wait_s * 1000), self._findings.make_request())
 
     async def answer_request(self, vm: str, request: FollowRequest) -> FollowReply:
         """Return the changes that a peer lacks, once there are any or its wait is over."""
         self._findings.apply(request.findings)
         with trio.move_on_after(request.wait_ms / 1000):
-            while not self._has_newer_revision(request):
+            while not self._is_ahead_of(request):
                 await self._changed.wait()
         kinds = [self._make_update(kind, request) for kind in self.collections]
         return FollowReply(vm, kinds, self._findings.make_reply())
@@ -99,7 +99,7 @@
                 continue
             self._adopt_outage_age(kind, update.outage_age_ms)
             changes = apply_update(self.collections[kind], update)
-            if update.revision >= self.collections[kind].revision:
+            if update.position >= self.collections[kind].position:
                 self.confirm(kind, changes, update.age_ms / 1000)
 
     def _adopt_outage_age(self, kind: ObjectKind, outage_age_ms: int) -> None:
@@ -112,9 +112,9 @@
         else:
             self._failed_at[kind] = trio.current_time() - outage_age_ms / 1000
 
-    def _has_newer_revision(self, request: FollowRequest) -> bool:
+    def _is_ahead_of(self, request: FollowRequest) -> bool:
         return any(
-            collection.revision > request.revisions.get(kind.value, 0) and collection.is_known
+            collection.position > request.get_position(kind) and collection.is_known
             for kind, collection in self.collections.items()
         )
 
@@ -123,8 +123,8 @@
         failed_at = self._failed_at.get(kind)
         outage_ms = -1 if failed_at is None else int((trio.current_time() - failed_at) * 1000)
         age_ms = -1 if age_s is None else int(age_s * 1000)
-        revision = request.revisions.get(kind.value, 0)
-        return make_update(self.collections[kind], revision, age_ms, outage_ms)
+        position = request.get_position(kind)
+        return make_update(self.collections[kind], position, age_ms, outage_ms)
 
     def _had_recent_outage(self, kind: ObjectKind) -> bool:
         failed_at = self._failed_at.get(kind)
--- a/libs/relay/tests/test_messages.py
+++ b/libs/relay/tests/test_messages.py
@@ -4,7 +4,14 @@
 from hypothesis import strategies as st
 
 from zinnia_catalog.collections import Collection
-from zinnia_catalog.objects import Change, Changes, Listing, ObjectKind, StoredObject
+from zinnia_catalog.objects import (
+    Change,
+    Changes,
+    Listing,
+    ObjectKind,
+    StoredObject,
+    StorePosition,
+)
 from zinnia_relay.messages import (
     FollowReply,
     FollowRequest,
@@ -33,7 +40,7 @@
         """Guards against encoding that changes a document on its way to a peer."""
         rows = [StoredObject(name, 3, spec, {"a": 1}) for name, spec in specs.items()]
         leader = make_collection(*rows)
-        reply = FollowReply("vm", [make_update(leader, 0, 5, -1)])
+        reply = FollowReply("vm", [make_update(leader, StorePosition(), 5, -1)])
         follower = Collection(ObjectKind.REPLICAS)
         apply_update(follower, decode(FollowReply, encode(reply)).kinds[0])
         self.assertEqual(leader.objects, follower.objects)
@@ -43,12 +50,28 @@
         """Guards against sending all objects after each change of one."""
         leader = make_collection(*(StoredObject(f"r{n}", 1, {}) for n in range(50)))
         leader.advance(Changes((Change(StoredObject("r3", 11, None), True),), 11))
-        update = make_update(leader, 10, 0, -1)
+        update = make_update(leader, StorePosition(0, 10), 0, -1)
         self.assertFalse(update.is_listing)
         self.assertEqual([("r3", True)], [(row.name, row.is_deleted) for row in update.records])
 
-    def test_follow_request_keeps_its_revisions(self):
+    def test_follow_request_keeps_its_positions(self):
         """Guards against sending a follower all objects with every reply."""
-        request = decode(FollowRequest, encode(FollowRequest("vm", {"replicas": 2**40}, 1000)))
-        self.assertEqual({"replicas": 2**40}, request.revisions)
+        positions = {ObjectKind.REPLICAS: StorePosition(3, 2**40)}
+        request = decode(FollowRequest, encode(FollowRequest("vm", positions, 1000)))
+        self.assertEqual(StorePosition(3, 2**40), request.get_position(ObjectKind.REPLICAS))
+        self.assertEqual(StorePosition(), request.get_position(ObjectKind.RELEASES))
         self.assertEqual(1000, request.wait_ms)
+
+    def test_follower_of_an_earlier_era_gets_all_objects(self):
+        """Load pattern: the store was restored, and its revisions are higher than before again.
+
+        Guards against a follower that gets only the changes after a revision of another era.
+        """
+        leader = make_collection(StoredObject("a", 8, {}), revision=10)
+        follower = make_collection(StoredObject("a", 8, {}), StoredObject("b", 9, {}), revision=10)
+        leader.replace(Listing((StoredObject("a", 7, {"new": 1}),), 9, 1))
+        leader.advance(Changes((Change(StoredObject("c", 12, {}), False),), 12, 1))
+        update = make_update(leader, follower.position, 0, -1)
+        apply_update(follower, decode(FollowReply, encode(FollowReply("vm", [update]))).kinds[0])
+        self.assertEqual(leader.objects, follower.objects)
+        self.assertEqual(leader.position, follower.position)
--- a/libs/relay/tests/test_relay.py
+++ b/libs/relay/tests/test_relay.py
@@ -191,3 +191,43 @@
             self.assertEqual(0, server.followers)
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_peer_of_an_earlier_era_confirms_nothing(self):
+        """Load pattern: a VM that is cut off from the store answers one that knows the new era.
+
+        Guards against data of before the restoration that counts as current, or comes back.
+        """
+
+        async def test(leader, follower, peer):
+            leader.store(ObjectKind.REPLICAS, "gone", 30)
+            collection = follower.store_cache.collections[ObjectKind.REPLICAS]
+            collection.replace(Listing((), 9, era=1))
+            await peer.poll(0.0)
+            self.assertEqual({}, collection.objects)
+            self.assertIsNone(follower.store_cache.get_age(ObjectKind.REPLICAS))
+
+        self.run_pair(test)
+
+    def test_new_era_ends_the_wait_of_a_follower(self):
+        """Load pattern: the store was restored; guards against followers that learn of it late."""
+
+        async def test(leader, follower, peer):
+            leader.store(ObjectKind.REPLICAS, "r1", 30)
+            leader.store(ObjectKind.CONFIGURATION, "main", 30)
+            await peer.poll(0.0)
+
+            async def restore():
+                await trio.sleep(0.2)
+                collection = leader.store_cache.collections[ObjectKind.REPLICAS]
+                listing = Listing((StoredObject("r1", 7, {}),), 9, era=1)
+                changes = collection.replace(listing)
+                leader.store_cache.confirm(ObjectKind.REPLICAS, changes)
+
+            started = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(restore)
+                await peer.poll(1.0)
+            self.assertAlmostEqual(0.2, trio.current_time() - started, places=3)
+            self.assertEqual(1, follower.store_cache.collections[ObjectKind.REPLICAS].position.era)
+
+        self.run_pair(test)
