Hold what was known before the store was restored until it is written again

An evacuation that it lacked ended (30 requests to the data centre where none are allowed), one that it still had came back, a leaving replica became ready, one that had left returned, an order that it lacked was withdrawn, which gives its version all requests.

Cause: the first listing of an era was applied like any other listing. Class of fault: a source that is current by its position and older by its contents.

Change: an object that the copy lacks, has in an earlier state, or has though it was removed is held as it was: until it is written in the new era, or for the time in which operators (10 s) or replicas (2 s; three heartbeats and a second for those that had left) write again. The configuration is held without limit. Contents order the states where they can (version of the configuration, start and state of a replica), else revisions do. Holds travel between VMs, so a VM that starts meanwhile adopts them; the copy itself stays as the store has it, so holds end everywhere alike.

Evidence: test_lost_evacuation_holds_until_it_is_written_again (three processes, one restarted) fails before; libs/catalog/tests/test_restores.py has each kind, two restorations in a row and a VM that starts meanwhile.

--- a/libs/catalog/src/zinnia_catalog/catalog.py
+++ b/libs/catalog/src/zinnia_catalog/catalog.py
@@ -8,12 +8,9 @@
 from zinnia_catalog.objects import Change, ObjectKind, StoredObject
 from zinnia_catalog.releases import ReleaseOrder
 from zinnia_catalog.replicas import ReplicaEntry
+from zinnia_catalog.restores import REANNOUNCE_TIMEOUT_S
 from zinnia_catalog.routes import Configuration
 
-# After a store outage, running replicas register again within two seconds. Replicas whose entries
-# lapsed during the outage are therefore kept for this long.
-REANNOUNCE_TIMEOUT_S = 2.0
-
 
 class ObjectDecoder(ABC):
     """Converts stored objects to the types of the catalog."""
@@ -30,6 +27,10 @@
     def decode_release(self, item: StoredObject) -> ReleaseOrder | None:
         """Return the release order, or None if the object is not a valid one."""
 
+    @abstractmethod
+    def read_order_key(self, kind: ObjectKind, item: StoredObject) -> tuple[int, ...] | None:
+        """Return a key that is higher for later states of an object, None if nothing tells."""
+
 
 class CatalogListener(ABC):
     """Receives the changes of the catalog."""
@@ -83,7 +84,7 @@
         """Apply changes of one kind.
 
         With ``after_outage``, a removed replica is kept for ``REANNOUNCE_TIMEOUT_S`` unless it was
-        draining: its entry may have lapsed only because it couldn't be renewed.
+        draining: its entry may have lapsed only because it couldn't be renewed during the outage.
         """
         for change in changes:
             if kind is ObjectKind.CONFIGURATION:
--- a/libs/catalog/tests/test_catalog.py
+++ b/libs/catalog/tests/test_catalog.py
@@ -18,6 +18,9 @@
     def decode_release(self, item):
         return None
 
+    def read_order_key(self, kind, item):
+        return None
+
 
 class FakeListener(CatalogListener):
     def __init__(self):
--- a/libs/entry/src/zinnia_entry/feeds.py
+++ b/libs/entry/src/zinnia_entry/feeds.py
@@ -89,7 +89,7 @@
         if self._must_list:
             listing = await self._store.list(self._kind)
             self._check_position(listing.position, collection.position)
-            changes = collection.replace(listing)
+            changes = self._store_cache.apply_listing(self._kind, listing)
             self._must_list = False
         else:
             timeout_s = WATCH_TIMEOUT_S[self._kind]
@@ -98,8 +98,7 @@
             update = await self._store.watch(self._kind, collection.revision, timeout_s)
             if update.era > collection.position.era:
                 raise HistoryLostError  # The revision of the watch was given out again.
-            changes = collection.advance(update)
-        self._store_cache.confirm(self._kind, changes)
+            changes = self._store_cache.apply_changes(self._kind, update)
         return bool(changes)
 
     async def _wait_to_watch(self, timeout_s: float) -> float:
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, fields, replace
+from functools import partial
 from random import Random
 
 import trio
@@ -15,6 +16,7 @@
 from zinnia_catalog.members import rank_names
 from zinnia_catalog.objects import ObjectKind, ObjectStore, StoreError
 from zinnia_catalog.observations import Observation
+from zinnia_catalog.restores import find_hold_times
 from zinnia_catalog.routes import CallerLimits
 from zinnia_delegation.delegator import PeerDelegator
 from zinnia_delegation.messages import DELEGATION_PROTOCOL_ID
@@ -136,9 +138,11 @@
         self.catalog = Catalog(adapter.decoder, self._fleet, trio.current_time)
         retry_shares = RetryShares(settings.vm, self.count_vms, runners)
         self._retry_budget = RetryBudget(settings.retry_bounds, retry_shares.get_share)
-        self._members = Collection(ObjectKind.MEMBERS)
+        self._members = self._make_collection(ObjectKind.MEMBERS)
         findings = FleetFindings(self._fleet)
-        self._store_cache = StoreCache(FOLLOWED_KINDS, self.catalog.apply, findings)
+        self._store_cache = StoreCache(
+            FOLLOWED_KINDS, self.catalog.apply, findings, self._make_collection
+        )
         self._source_controller = SourceController(
             settings,
             self._store_cache,
@@ -224,6 +228,10 @@
         self._source_controller.seeds = settings.seeds
         self.events.note("reload", reason=cause, changed=changed)
 
+    def _make_collection(self, kind: ObjectKind) -> Collection:
+        read_key = partial(self._adapter.decoder.read_order_key, kind)
+        return Collection(kind, read_key, find_hold_times(kind, self._settings.heartbeat_s))
+
     def _start_all(self, nursery: trio.Nursery) -> None:
         settings = self._settings
         dispatcher = Dispatcher(
@@ -312,14 +320,15 @@
             await trio.sleep_until(self._find_next_check_time())
             self._fleet.discard_expired(trio.current_time())
             self.catalog.expire_lapsed()
+            self._store_cache.expire_holds()
             if trio.current_time() >= reload_at:
                 reload_at = trio.current_time() + RELOAD_INTERVAL_S
                 self._reload_if_changed()
 
     def _find_next_check_time(self) -> float:
         next_check_at = trio.current_time() + EXPIRY_CHECK_INTERVAL_S
-        expiry_at = self.catalog.find_expiry()
-        return next_check_at if expiry_at is None else min(next_check_at, expiry_at)
+        expiries = (self.catalog.find_expiry(), self._store_cache.find_hold_expiry())
+        return min([next_check_at, *(at for at in expiries if at is not None)])
 
     async def _register_and_list_members(self) -> None:
         """Register this VM, and list the registered VMs regularly."""
@@ -330,7 +339,7 @@
         while True:
             try:
                 listing = await store.list(ObjectKind.MEMBERS, allow_stale=True)
-                changes = self._members.replace(listing)
+                changes = self._members.replace(listing, trio.current_time())
                 self.catalog.apply(ObjectKind.MEMBERS, changes, False)
                 if not is_registered and settings.vm not in self.catalog.members:
                     document = make_member(settings).write()
--- a/libs/entry/src/zinnia_entry/settings.py
+++ b/libs/entry/src/zinnia_entry/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from zinnia_catalog.ids import DataCentreId, VmName
+from zinnia_catalog.restores import DEFAULT_HEARTBEAT_S
 from zinnia_sending.budgets import RetryBounds
 from zinnia_sending.versions import ExposureBounds
 
@@ -30,7 +31,7 @@
     ``seeds`` are peer addresses of some other VMs. Fleet-wide limits are divided among at least
     ``expected_vms`` VMs. ``capacity`` is the processor time of the VM, in CPU cores. A fan-out over
     ``delegate_from`` shards or more is split over VMs. The process may use ``memory_bytes`` of
-    memory. Times are in seconds.
+    memory. Replicas write to the store every ``heartbeat_s``. Times are in seconds.
     """
 
     vm: VmName
@@ -48,6 +49,7 @@
     delegate_from: int = MIN_SHARDS_TO_DELEGATE
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     exposure_bounds: ExposureBounds = ExposureBounds()
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S
 
 
 class SettingsError(Exception):
--- a/libs/relay/src/zinnia_relay/messages.py
+++ b/libs/relay/src/zinnia_relay/messages.py
@@ -1,7 +1,8 @@
 """Messages that relay store changes between VMs, in thrift's compact protocol."""
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
+from math import inf
 from typing import Any
 
 from thrift.protocol.TBase import TBase
@@ -19,6 +20,7 @@
     StoredObject,
     StorePosition,
 )
+from zinnia_catalog.restores import PeerHold
 from zinnia_relay.exchange import Findings
 
 # Exceptions that ``decode`` may raise on malformed input.
@@ -52,10 +54,39 @@
         self.is_deleted = is_deleted
 
 
+RECORD_STRUCT = [ObjectRecord, ObjectRecord.thrift_spec]
+
+
+class HoldRecord(TBase):
+    """An object that a VM knows in another state than a restored store lists it.
+
+    Either record is a removal if there is no such object. ``left_ms`` is how much longer the known
+    state holds, -1 without a limit.
+    """
+
+    thrift_spec = (
+        None,
+        (1, TType.STRUCT, "known", RECORD_STRUCT, None),
+        (2, TType.STRUCT, "listed", RECORD_STRUCT, None),
+        (3, TType.I64, "left_ms", None, None),
+    )
+
+    def __init__(
+        self,
+        known: ObjectRecord | None = None,
+        listed: ObjectRecord | None = None,
+        left_ms: int = 0,
+    ) -> None:
+        self.known = known or ObjectRecord()
+        self.listed = listed or ObjectRecord()
+        self.left_ms = left_ms
+
+
 class KindUpdate(TBase):
     """Update of one kind: all objects if ``is_listing``, else the changes up to ``revision``.
 
-    ``era`` is the era of the store to which the revisions belong.
+    ``era`` is the era of the store to which the revisions belong. ``holds`` lists the objects for
+    which the sender does not go by the store.
     ``age_ms`` is the time since the store last confirmed this kind to the sender, directly or
     through another VM, -1 if it never did. ``outage_age_ms`` is the time since a call of the store
     for this kind failed, -1 if none has failed.
@@ -66,16 +97,17 @@
         (1, TType.STRING, "kind", "UTF8", None),
         (2, TType.I64, "revision", None, None),
         (3, TType.BOOL, "is_listing", None, None),
+        (4, TType.LIST, "records", (TType.STRUCT, RECORD_STRUCT, False), None),
+        (5, TType.I64, "age_ms", None, None),
+        (6, TType.I64, "outage_age_ms", None, None),
+        (7, TType.I64, "era", None, None),
         (
-            4,
+            8,
             TType.LIST,
-            "records",
-            (TType.STRUCT, [ObjectRecord, ObjectRecord.thrift_spec], False),
+            "holds",
+            (TType.STRUCT, [HoldRecord, HoldRecord.thrift_spec], False),
             None,
         ),
-        (5, TType.I64, "age_ms", None, None),
-        (6, TType.I64, "outage_age_ms", None, None),
-        (7, TType.I64, "era", None, None),
     )
 
     def __init__(
@@ -87,6 +119,7 @@
         age_ms: int = 0,
         outage_age_ms: int = -1,
         era: int = 0,
+        holds: list[HoldRecord] | None = None,
     ) -> None:
         self.kind = kind
         self.revision = revision
@@ -95,6 +128,7 @@
         self.age_ms = age_ms
         self.outage_age_ms = outage_age_ms
         self.era = era
+        self.holds = holds or []
 
     @property
     def position(self) -> StorePosition:
@@ -172,7 +206,11 @@
 
 
 def make_update(
-    collection: Collection, position: StorePosition, age_ms: int, outage_age_ms: int
+    collection: Collection,
+    position: StorePosition,
+    age_ms: int,
+    outage_age_ms: int,
+    now: float = 0.0,
 ) -> KindUpdate:
     """Return the update that brings a peer from a position up to date.
 
@@ -184,6 +222,7 @@
         age_ms=age_ms,
         outage_age_ms=outage_age_ms,
         era=collection.position.era,
+        holds=[_make_hold_record(hold) for hold in collection.list_holds(now)],
     )
     if position >= collection.position:
         return update
@@ -197,13 +236,19 @@
     return update
 
 
-def apply_update(collection: Collection, update: KindUpdate) -> tuple[Change, ...]:
+def apply_update(
+    collection: Collection, update: KindUpdate, now: float = 0.0
+) -> tuple[Change, ...]:
     """Apply an update to a collection; return the changes that took effect."""
-    changes = tuple(_read_records(update.records))
+    changes = tuple(_read_change(record) for record in update.records)
     if update.is_listing:
         objects = tuple(change.object for change in changes)
-        return collection.replace(Listing(objects, update.revision, update.era))
-    return collection.advance(Changes(changes, update.revision, update.era))
+        applied = collection.replace(Listing(objects, update.revision, update.era), now)
+    else:
+        applied = collection.advance(Changes(changes, update.revision, update.era), now)
+    if update.position != collection.position:
+        return applied
+    return applied + collection.adopt_holds(map(_read_hold, update.holds), now)
 
 
 def _make_record(change: Change) -> ObjectRecord:
@@ -215,12 +260,31 @@
     )
 
 
-def _read_records(records: Iterable[ObjectRecord]) -> Iterable[Change]:
-    for record in records:
-        spec, status = json.loads(record.spec), json.loads(record.status)
-        yield Change(
-            StoredObject(record.name, record.revision, spec, status), bool(record.is_deleted)
+def _read_change(record: ObjectRecord) -> Change:
+    spec, status = json.loads(record.spec), json.loads(record.status)
+    item = StoredObject(record.name, record.revision, spec, status)
+    return Change(item, bool(record.is_deleted))
+
+
+def _make_hold_record(hold: PeerHold) -> HoldRecord:
+    known, listed = (
+        (
+            ObjectRecord(hold.name, is_deleted=True)
+            if item is None
+            else _make_record(Change(item, False))
         )
+        for item in (hold.known, hold.listed)
+    )
+    return HoldRecord(known, listed, -1 if hold.left_s == inf else int(hold.left_s * 1000))
+
+
+def _read_hold(record: HoldRecord) -> PeerHold:
+    known, listed = (
+        None if change.is_deleted else change.object
+        for change in (_read_change(record.known), _read_change(record.listed))
+    )
+    left_s = inf if record.left_ms < 0 else record.left_ms / 1000
+    return PeerHold(record.known.name, known, listed, left_s)
 
 
 def _encode_json(document: Any) -> bytes:
--- a/libs/relay/src/zinnia_relay/store_cache.py
+++ b/libs/relay/src/zinnia_relay/store_cache.py
@@ -5,7 +5,7 @@
 import trio
 
 from zinnia_catalog.collections import Collection
-from zinnia_catalog.objects import Change, ObjectKind
+from zinnia_catalog.objects import Change, Changes, Listing, ObjectKind
 from zinnia_relay.exchange import FindingsExchange, FindingsSource
 from zinnia_relay.messages import (
     FollowReply,
@@ -33,6 +33,8 @@
         Called with the kind, its changes, and whether the store failed shortly before.
     source : FindingsSource, optional
         Provides what this VM has found out, and receives what other VMs have.
+    make_collection : Callable[[ObjectKind], Collection], optional
+        Returns an empty collection of a kind.
     """
 
     def __init__(
@@ -40,8 +42,9 @@
         kinds: tuple[ObjectKind, ...],
         apply: ChangeHandler,
         source: FindingsSource | None = None,
+        make_collection: Callable[[ObjectKind], Collection] = Collection,
     ) -> None:
-        self.collections = {kind: Collection(kind) for kind in kinds}
+        self.collections = {kind: make_collection(kind) for kind in kinds}
         self._apply = apply
         self._confirmed_at: dict[ObjectKind, float] = {}
         self._failed_at: dict[ObjectKind, float] = {}
@@ -58,14 +61,40 @@
         confirmed_at = self._confirmed_at.get(kind)
         return None if confirmed_at is None else trio.current_time() - confirmed_at
 
+    def apply_listing(self, kind: ObjectKind, listing: Listing) -> tuple[Change, ...]:
+        """Apply a listing of the store; return the changes that it makes."""
+        era = self.collections[kind].position.era
+        changes = self.collections[kind].replace(listing, trio.current_time())
+        self.confirm(kind, changes)
+        if self.collections[kind].position.era > era:
+            self._notify_followers()
+        return changes
+
+    def apply_changes(self, kind: ObjectKind, update: Changes) -> tuple[Change, ...]:
+        """Apply changes that the store has replied; return those that took effect."""
+        changes = self.collections[kind].advance(update, trio.current_time())
+        self.confirm(kind, changes)
+        return changes
+
+    def find_hold_expiry(self) -> float | None:
+        """Return the time at which ``expire_holds`` is due, None if nothing is held."""
+        times = [collection.find_expiry() for collection in self.collections.values()]
+        return min((time for time in times if time is not None), default=None)
+
+    def expire_holds(self) -> None:
+        """Go by the store for objects that were not written again after it was restored."""
+        for kind, collection in self.collections.items():
+            changes = collection.expire_holds(trio.current_time())
+            if changes:
+                self._apply(kind, changes, False)
+
     def confirm(self, kind: ObjectKind, changes: tuple[Change, ...], age_s: float = 0.0) -> None:
         """Record that the store confirmed a kind ``age_s`` seconds ago, and report its changes."""
         confirmed_at = trio.current_time() - age_s
         self._confirmed_at[kind] = max(confirmed_at, self._confirmed_at.get(kind, confirmed_at))
         if changes:
             self._apply(kind, changes, self._had_recent_outage(kind))
-            self._changed.set()
-            self._changed = trio.Event()
+            self._notify_followers()
 
     def note_failure(self, kind: ObjectKind) -> None:
         """Record that a call of the store for a kind failed."""
@@ -98,7 +127,7 @@
             if kind is None or kind not in self.collections or update.age_ms < 0:
                 continue
             self._adopt_outage_age(kind, update.outage_age_ms)
-            changes = apply_update(self.collections[kind], update)
+            changes = apply_update(self.collections[kind], update, trio.current_time())
             if update.position >= self.collections[kind].position:
                 self.confirm(kind, changes, update.age_ms / 1000)
 
@@ -112,6 +141,10 @@
         else:
             self._failed_at[kind] = trio.current_time() - outage_age_ms / 1000
 
+    def _notify_followers(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _is_ahead_of(self, request: FollowRequest) -> bool:
         return any(
             collection.position > request.get_position(kind) and collection.is_known
@@ -124,7 +157,8 @@
         outage_ms = -1 if failed_at is None else int((trio.current_time() - failed_at) * 1000)
         age_ms = -1 if age_s is None else int(age_s * 1000)
         position = request.get_position(kind)
-        return make_update(self.collections[kind], position, age_ms, outage_ms)
+        collection = self.collections[kind]
+        return make_update(collection, position, age_ms, outage_ms, trio.current_time())
 
     def _had_recent_outage(self, kind: ObjectKind) -> bool:
         failed_at = self._failed_at.get(kind)
