Register a VM again after the store was restored

Found by reading, shown by a test: a VM registers once in its life. A copy from before that, which a restored store comes back from, lacks the VM for good: VMs that start later do not know it, count too few VMs, use larger shares of the bounds on all VMs, and do not follow or delegate to it.

Change: a VM registers once in each era of the store, and lists the others a second after it learns of one; what it knew of the others is kept. The task moves from node.py into a module of its own.

Evidence: with the registration of the code before (once), test_vm_registers_again_after_the_store_was_restored fails.

--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -14,7 +14,7 @@
 from zinnia_catalog.evidence import Evidence
 from zinnia_catalog.ids import ProcessId, VmName
 from zinnia_catalog.members import rank_names
-from zinnia_catalog.objects import ObjectKind, ObjectStore, StoreError
+from zinnia_catalog.objects import ObjectKind, ObjectStore
 from zinnia_catalog.observations import Observation
 from zinnia_catalog.restores import find_hold_times
 from zinnia_catalog.routes import CallerLimits
@@ -26,6 +26,7 @@
 from zinnia_entry.messages import CallerProtocol
 from zinnia_entry.metrics import Metrics
 from zinnia_entry.probes import MetricsHandler, ReadinessHandler
+from zinnia_entry.registration import Registration
 from zinnia_entry.releases import ReleaseDriver
 from zinnia_entry.routestates import RouteStates
 from zinnia_entry.server import CallerServer, open_listener
@@ -50,11 +51,8 @@
 DRAIN_ACCEPT_S = 3.0
 # Time before the end of the grace period at which the process stops waiting for requests.
 GRACE_PERIOD_MARGIN_S = 0.5
-MEMBERS_INTERVAL_S = 10.0
 # Fraction of the memory for the answers of replicas that are being received.
 ANSWER_MEMORY_FRACTION = 0.125
-# Delay before the second listing: VMs that start together have registered by then.
-FIRST_MEMBERS_INTERVAL_S = 1.0
 # Random bytes that tell the processes of a VM apart.
 PROCESS_ID_BYTES = 4
 
@@ -138,11 +136,19 @@
         self.catalog = Catalog(adapter.decoder, self._fleet, trio.current_time)
         retry_shares = RetryShares(settings.vm, self.count_vms, runners)
         self._retry_budget = RetryBudget(settings.retry_bounds, retry_shares.get_share)
-        self._members = self._make_collection(ObjectKind.MEMBERS)
         findings = FleetFindings(self._fleet)
         self._store_cache = StoreCache(
             FOLLOWED_KINDS, self.catalog.apply, findings, self._make_collection
         )
+        self._registration = Registration(
+            make_member(settings),
+            adapter.store,
+            self._make_collection(ObjectKind.MEMBERS),
+            self.catalog,
+            self._store_cache,
+            events,
+            self._random,
+        )
         self._source_controller = SourceController(
             settings,
             self._store_cache,
@@ -272,7 +278,7 @@
         nursery.start_soon(self._source_controller.run)
         nursery.start_soon(self._release_driver.run)
         nursery.start_soon(self._run_periodic_tasks)
-        nursery.start_soon(self._register_and_list_members)
+        nursery.start_soon(self._registration.run)
         nursery.start_soon(self.events.run)
         nursery.start_soon(self._request_log.run)
 
@@ -330,26 +336,6 @@
         expiries = (self.catalog.find_expiry(), self._store_cache.find_hold_expiry())
         return min([next_check_at, *(at for at in expiries if at is not None)])
 
-    async def _register_and_list_members(self) -> None:
-        """Register this VM, and list the registered VMs regularly."""
-        settings = self._settings
-        store = self._adapter.store
-        is_registered = False
-        interval_s = FIRST_MEMBERS_INTERVAL_S
-        while True:
-            try:
-                listing = await store.list(ObjectKind.MEMBERS, allow_stale=True)
-                changes = self._members.replace(listing, trio.current_time())
-                self.catalog.apply(ObjectKind.MEMBERS, changes, False)
-                if not is_registered and settings.vm not in self.catalog.members:
-                    document = make_member(settings).write()
-                    await store.create(ObjectKind.MEMBERS, settings.vm, document)
-                is_registered = True
-            except StoreError as error:
-                self.events.note("members_unknown", cause=error.cause)
-            await trio.sleep(interval_s * (0.8 + 0.4 * self._random.random()))
-            interval_s = MEMBERS_INTERVAL_S
-
     async def _stop(self) -> None:
         """Report unready, finish requests in progress, and return when no connection is open."""
         started_at = trio.current_time()
--- a/libs/relay/src/zinnia_relay/store_cache.py
+++ b/libs/relay/src/zinnia_relay/store_cache.py
@@ -59,6 +59,11 @@
         """Whether every kind was received at least once."""
         return all(collection.is_known for collection in self.collections.values())
 
+    @property
+    def era(self) -> int:
+        """The highest known era of the store."""
+        return self._era
+
     def get_age(self, kind: ObjectKind) -> float | None:
         """Return the seconds since the store last confirmed a kind, None if it never did."""
         confirmed_at = self._confirmed_at.get(kind)
