Keep the end of a release that the store has lost, and write it again

Found by reading, shown by tests: after a restoration the status of a release is as old as the copy. VMs followed it: a version that was done got 6% of the requests again though its old replicas were gone, and one that was taken back got requests.

Change: a move that has ended does not open again when its order goes back; each VM that knows the end writes it again, and what was taken back counts as rejected for VMs that did not see it. After a write conflict the orders are read again.

--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -159,7 +159,12 @@
             self._random,
         )
         self._release_driver = ReleaseDriver(
-            self._fleet.versions, adapter.store, self.get_rank, events, trio.current_time
+            self._fleet.versions,
+            adapter.store,
+            self.get_rank,
+            events,
+            trio.current_time,
+            partial(self._store_cache.apply_listing, ObjectKind.RELEASES),
         )
         self._request_log = RequestLog(events)
         self._route_states = RouteStates()
--- a/libs/entry/src/zinnia_entry/releases.py
+++ b/libs/entry/src/zinnia_entry/releases.py
@@ -4,7 +4,13 @@
 
 import trio
 
-from zinnia_catalog.objects import ObjectStore, StoreError, WriteConflictError
+from zinnia_catalog.objects import (
+    Listing,
+    ObjectKind,
+    ObjectStore,
+    StoreError,
+    WriteConflictError,
+)
 from zinnia_catalog.releases import ReleaseState
 from zinnia_sending.events import EventSink
 from zinnia_sending.versions import VersionMove, VersionShares
@@ -30,6 +36,8 @@
     ----------
     get_rank : Callable[[], int]
         Returns the rank of this VM, 0 for the first; all VMs compute the same ranks.
+    apply_listing : Callable[[Listing], None]
+        Receives the orders as the store has them, after a write has met another revision.
     """
 
     def __init__(
@@ -39,10 +47,12 @@
         get_rank: Callable[[], int],
         events: EventSink,
         clock: Callable[[], float],
+        apply_listing: Callable[[Listing], object] = lambda listing: None,
     ) -> None:
         self._versions = versions
         self._store = store
         self._get_rank = get_rank
+        self._apply_listing = apply_listing
         self._events = events
         self._clock = clock
 
@@ -59,6 +69,8 @@
         """Return the state to write for a move now, None if it is not to change."""
         if not move.order.is_open:
             return None
+        if move.lost_state is not None:
+            return move.lost_state
         if move.is_rejected:
             return ReleaseState.TAKEN_BACK
         elapsed_s = self._clock() - move.started_at
@@ -75,6 +87,7 @@
             await self._store.write_release(order, state)
         except WriteConflictError:
             self._events.note("release_conflict", service=order.service, state=state.value)
+            await self._list_orders()
         except StoreError as error:
             self._events.note("release_unwritten", service=order.service, cause=error.cause)
         else:
@@ -88,6 +101,13 @@
                 bad=total.bad,
             )
 
+    async def _list_orders(self) -> None:
+        """Read the orders again, as this VM's copy is behind the store."""
+        try:
+            self._apply_listing(await self._store.list(ObjectKind.RELEASES))
+        except StoreError as error:
+            self._events.note("release_unwritten", service=None, cause=error.cause)
+
 
 def find_decision_time(move: VersionMove) -> float:
     """Return the seconds from the order of a move until its end state is chosen."""
--- a/libs/entry/tests/test_releases.py
+++ b/libs/entry/tests/test_releases.py
@@ -4,7 +4,7 @@
 import trio.testing
 from fakes import FakeStore, RecordingSink
 
-from zinnia_catalog.objects import WriteConflictError
+from zinnia_catalog.objects import Listing, WriteConflictError
 from zinnia_catalog.releases import ReleaseOrder, ReleaseState
 from zinnia_entry.releases import (
     DONE_MARGIN_FRACTION,
@@ -88,6 +88,32 @@
         self.now = DURATION_S
         self.assertIsNone(self.choose_state())
 
+    def test_end_state_that_the_store_has_lost_is_written_again(self):
+        """Load pattern: the store was restored from a copy in which the move is running."""
+        self.set_order(ReleaseState.DONE)
+        self.set_order(ReleaseState.RUNNING)
+        self.assertIs(ReleaseState.DONE, self.choose_state(self.make_driver(7)))
+
+    def test_orders_are_read_again_after_a_write_conflict(self):
+        """Load pattern: the copy of this VM is behind the store.
+
+        Guards against a rejection that is never written because its revision is an old one.
+        """
+        self.store.write_error = WriteConflictError()
+        self.store.lists = [Listing((), 9)] * 100
+        self.now = DURATION_S
+        listings = []
+        driver = ReleaseDriver(
+            self.versions, self.store, lambda: 0, self.events, lambda: self.now, listings.append
+        )
+
+        async def main():
+            with trio.move_on_after(1.0):
+                await driver.run()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(Listing((), 9), listings[0])
+
     def test_write_conflict_is_logged_and_not_raised(self):
         """Load pattern: two VMs write at the same time. Guards against ending the review task."""
         self.store.write_error = WriteConflictError()
--- a/libs/sending/src/zinnia_sending/versions.py
+++ b/libs/sending/src/zinnia_sending/versions.py
@@ -42,7 +42,8 @@
     """Sends of this VM, and answers of all VMs, during the version move of one service.
 
     ``sent`` counts the sends of this VM to all versions. Each of them adds the new version's share
-    to ``credit``; a send to the new version takes a whole one.
+    to ``credit``; a send to the new version takes a whole one. ``lost_state`` is an end state that
+    the store had and has lost; it holds, and has to be written again.
     """
 
     order: ReleaseOrder
@@ -51,20 +52,40 @@
     credit: float = 0.0
     sent: int = 0
     is_rejected: bool = False
+    lost_state: ReleaseState | None = None
     evidence: EvidencePool = field(default_factory=EvidencePool)
     judge: VersionJudge = field(default_factory=VersionJudge)
 
+    @property
+    def state(self) -> ReleaseState:
+        """State of the move, which is ahead of its order if the store has lost its end."""
+        return self.lost_state or self.order.state
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the move has not ended."""
+        return self.lost_state is None and self.order.is_open
+
     @property
     def share(self) -> float:
         """Fraction (0 to 1) of the service's requests that the new version gets."""
-        if self.is_rejected or self.order.state is ReleaseState.TAKEN_BACK:
-            return 0.0
-        if self.order.state is ReleaseState.DONE:
+        if self.state is ReleaseState.DONE:
             return 1.0
+        if self.is_rejected or self.state is ReleaseState.TAKEN_BACK:
+            return 0.0
         if self.evidence.total.sends < TRIAL_SLACK_FRACTION * self.bounds.slack:
             return TRIAL_SHARE
         return USED_SHARE_FRACTION * self.bounds.share
 
+    def change_order(self, order: ReleaseOrder) -> None:
+        """Apply another state of the order; a move that has ended does not open again."""
+        if order.is_open and not self.is_open:
+            self.lost_state = self.state
+        elif not order.is_open:
+            self.lost_state = None
+        self.order = order
+        self.is_rejected = self.is_rejected or self.state is ReleaseState.TAKEN_BACK
+
     def count_send(self, is_new: bool) -> None:
         """Count a request that is about to be sent."""
         self.sent += 1
@@ -118,7 +139,7 @@
     def change_order(self, service: ServiceName, order: ReleaseOrder | None, now: float) -> None:
         """Apply a new, changed or withdrawn (None) order.
 
-        A new order for the same version keeps the counts and the rejection of its move.
+        A new order for the same version keeps the counts, the rejection and the end of its move.
         """
         known = self._moves.get(service)
         if order is None:
@@ -127,7 +148,7 @@
             # Credits start at random, so that many processes with few requests keep the share.
             self._moves[service] = VersionMove(order, now, self.bounds, self._random.random())
         else:
-            known.order = order
+            known.change_order(order)
         move = self._moves.get(service, known)
         own = move.evidence.own if move else AnswerCounts()
         self._events.note(
@@ -174,7 +195,7 @@
         is_new = version == move.order.target
         is_bad = failure is not None or slowness > SLOW_FACTOR
         move.count_answer(is_new, is_bad)
-        if is_new and is_bad and move.order.is_open:
+        if is_new and is_bad and move.is_open:
             self._events.note(
                 "version_answer_bad",
                 service=service,
@@ -230,7 +251,7 @@
         )
 
     def _judge(self, move: VersionMove, now: float) -> None:
-        if not move.order.is_open:
+        if not move.is_open:
             return
         move.judge.update(move.evidence.total, now)
         if move.judge.is_bad:
--- a/libs/sending/tests/test_versions.py
+++ b/libs/sending/tests/test_versions.py
@@ -123,3 +123,30 @@
                 sent_new = self.count_new_sends(processes, requests)
                 self.assertLessEqual(sent_new, BOUNDS.share * processes * requests + 5)
                 self.assertGreater(sent_new, 0.3 * BOUNDS.share * processes * requests)
+
+    def test_end_of_a_move_outlasts_its_loss_in_the_store(self):
+        """Load pattern: the store comes back from a copy in which the release is still running.
+
+        Guards against a bad version that gets requests again, and against a good one that loses
+        them although the old replicas are gone.
+        """
+        for state, share in ((ReleaseState.DONE, 1.0), (ReleaseState.TAKEN_BACK, 0.0)):
+            with self.subTest(state=state):
+                self.shares.change_order("s", None, 5.0)
+                self.shares.change_order("s", make_order(), 5.0)
+                self.shares.change_order("s", make_order(state), 6.0)
+                self.shares.change_order("s", make_order(), 7.0)
+                move = self.shares.list_moves()[0]
+                self.assertEqual((share, state), (move.share, move.lost_state))
+                self.shares.change_order("s", make_order(state), 8.0)
+                self.assertIsNone(self.shares.list_moves()[0].lost_state)
+
+    def test_version_that_was_taken_back_is_told_to_vms_that_do_not_know(self):
+        """Load pattern: a VM restarts while the store has lost the end of a release."""
+        self.shares.change_order("s", make_order(ReleaseState.TAKEN_BACK), 6.0)
+        self.shares.change_order("s", make_order(), 7.0)
+        restarted = VersionShares(NullSink())
+        restarted.change_order("s", make_order(), 8.0)
+        restarted.merge_evidence(self.shares.list_totals(8.0), 8.0)
+        self.assertEqual("v2", restarted.find_excluded_version("s"))
+        self.assertEqual(0.0, restarted.list_moves()[0].share)
