--- a/libs/catalog/src/zinnia_catalog/members.py
+++ b/libs/catalog/src/zinnia_catalog/members.py
@@ -16,6 +16,9 @@
 # Deputies are the VMs ranked next after the watchers. Followers try them when the watchers fail,
 # and deputies turn to the store before the other followers do.
 DEPUTY_COUNT = 3
+# Registrations with values beyond these are not valid.
+MAX_PORT = 65535
+MAX_CAPACITY = 10_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,11 +47,14 @@
     data_centre = document.get("data_centre", "")
     if not isinstance(address, str) or not isinstance(data_centre, str):
         return None
-    if not address.rpartition(":")[2].isdigit():
+    port = address.rpartition(":")[2]
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
         return None
     capacity = document.get("capacity", 1.0)
     if isinstance(capacity, bool) or not isinstance(capacity, int | float):
         return None
+    if not 0 < capacity <= MAX_CAPACITY:
+        return None
     return Member(VmName(name), address, DataCentreId(data_centre), float(capacity))
 
 
