Test answers that end within their head

Not reproduced in the entry process, so nothing is mended. Tried: each cut of a framed, a chunked and an unframed answer, also after an interim answer and after a late one, with contradicting framing, and with bare line ends (test_parser.py); each cut of a head by a replica that closes its connection (test_replica.py). The parser knows an end only after the empty line of the head; the end of the connection completes an answer only after that, and only without a length. What can't be told apart by HTTP is an answer without a length that ends within its body.

--- a/libs/sending/tests/test_parser.py
+++ b/libs/sending/tests/test_parser.py
@@ -37,6 +37,38 @@
         parser = parse(COMPLETE[:-1])
         self.assertFalse(parser.finish())
 
+    def test_answer_that_ends_anywhere_before_its_end_is_incomplete(self):
+        """Load pattern: a replica closes its connection within its answer, also within the head.
+
+        The answer may follow an interim answer or a late one. Guards against an empty or short
+        success that looks whole.
+        """
+        late = b"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nold"
+        starts = (b"", b"HTTP/1.1 100 Continue\r\n\r\n", late)
+        headers = b"\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n"
+        odd_heads = (b"HTTP/1.1 200 OK\r\nA: b\r\n", b"HTTP/1.1 200 OK\n", b"HTTP/1.1 200")
+        for start in starts:
+            cut = [start + data[:at] for data in (COMPLETE, CHUNKED) for at in range(len(data))]
+            cut += [start + UNFRAMED[:at] for at in range(len(UNFRAMED) - len(b"hello"))]
+            cut += [start + head for head in odd_heads]
+            cut += [start + (b"HTTP/1.1 200 OK" + headers)[:at] for at in range(15, 50)]
+            for data in cut:
+                with self.subTest(data=data):
+                    self.assertFalse(self.is_taken_for_whole(data))
+
+    def is_taken_for_whole(self, data):
+        """Return whether an answer is complete if the connection ends after these bytes."""
+
+        def is_own(status, headers):
+            return dict(headers).get(b"id") != b"other"
+
+        parser = AnswerParser(is_own=is_own)
+        try:
+            parser.feed(data)
+        except BadAnswerError:
+            return False
+        return parser.finish()
+
     def test_body_without_a_length_ends_with_the_connection(self):
         """Guards against dropping an answer whose end is marked by the end of the connection."""
         parser = parse(UNFRAMED)
--- a/libs/sending/tests/test_replica.py
+++ b/libs/sending/tests/test_replica.py
@@ -171,6 +171,17 @@
         scripted, results = self.exchange(["close"])
         self.assertIs(ExchangeResult.BROKEN, results[0].result)
 
+    def test_exchange_that_ends_within_the_head_of_the_answer_is_broken(self):
+        """Load pattern: a replica stops in the middle of its answer's head and closes.
+
+        Guards against an empty or short success that looks whole.
+        """
+        head = b"HTTP/1.1 200 OK\r\nId: own\r\nSeal: s\r\n"
+        for at in range(1, len(head) + 1):
+            with self.subTest(at=at):
+                _, results = self.exchange([head[:at]])
+                self.assertIs(ExchangeResult.BROKEN, results[0].result)
+
     def test_answer_without_a_length_is_complete_at_the_end_of_the_connection(self):
         """Load pattern: replicas send answers without a length and close the connection."""
         _, results = self.exchange([b"HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nhello"])
