Answer every request that is taken during a planned stop

Cause: the end of a request was its deadline or its route's timeout, whatever was left of the grace period; at its end the tasks were cancelled.

Change: requests end 0.2 s before the process stops waiting, with what they have, 504, or 503 if nothing was sent. While the VM is stopping, a request that will probably not be answered by then is refused before it runs (stopping, 503): one that may not be repeated if twice the latency that few requests exceed, times the present slowness of its replica, is more than what is left. Others are served as before.

--- a/libs/entry/src/zinnia_entry/handler.py
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -11,6 +11,7 @@
 from zinnia_entry.reasons import RefusalReason, RequestOutcome
 from zinnia_entry.routestates import RouteState, RouteStates
 from zinnia_entry.server import RequestHandler
+from zinnia_entry.stopping import PlannedStop
 from zinnia_sending.attempts import AttemptSender, RunRequest
 from zinnia_sending.budgets import RetryBudget
 from zinnia_sending.delegation import Delegator
@@ -47,6 +48,7 @@
         log: RequestLog,
         route_states: RouteStates,
         delegator: Delegator | None = None,
+        stop: PlannedStop | None = None,
     ) -> None:
         self._catalog = catalog
         self._fleet = fleet
@@ -57,6 +59,13 @@
         self._log = log
         self._route_states = route_states
         self._delegator = delegator
+        self._stop = stop or PlannedStop()
+        self._runs: set[RequestRun] = set()
+
+    def begin_stop(self) -> None:
+        """End the requests in progress with the planned stop, which has begun."""
+        for run in self._runs:
+            run.limit_end(self._stop.requests_end_at)
 
     async def handle(self, request: CallerRequest) -> CallerReply:
         """Return the reply to a request; also record it in the metrics and in the request log."""
@@ -71,6 +80,9 @@
         if facts.deadline_s is not None and facts.deadline_s <= 0:
             return self._make_refusal(request, facts, route, RefusalReason.BAD_DEADLINE)
         run = self._make_run(request, facts, route)
+        if self._is_too_late(run.request):
+            return self._make_refusal(request, facts, route, RefusalReason.STOPPING)
+        self._runs.add(run)
         try:
             outcome = await run.run()
         except trio.Cancelled:
@@ -79,6 +91,7 @@
         else:
             return self._make_reply(request, facts, route, outcome)
         finally:
+            self._runs.discard(run)
             self._metrics.count_phases(request.received_at, run.timing, trio.current_time())
 
     def _make_run(self, request: CallerRequest, facts: CallerFacts, route: Route) -> RequestRun:
@@ -101,7 +114,7 @@
             prepared=self._protocol.prepare(request),
             received_at=request.received_at,
             target_at=request.received_at + target_s,
-            end_at=request.received_at + timeout_s,
+            end_at=min(request.received_at + timeout_s, self._stop.requests_end_at),
             latency=state.latency,
             seal_lag_s=state.seal_lag_s,
         )
@@ -109,6 +122,17 @@
             run_request, self._fleet, self._retry_budget, self._sender, self._delegator
         )
 
+    def _is_too_late(self, request: RunRequest) -> bool:
+        """Whether this VM may stop before the request is answered."""
+        if not self._stop.has_begun:
+            return False
+        if request.is_fanout:
+            latency_s = request.route.target_latency_s
+        else:
+            slowness = self._fleet.estimate_slowness(request.services[0], trio.current_time())
+            latency_s = request.latency.tail_s * slowness
+        return self._stop.is_too_late_for(latency_s, request.route.is_idempotent)
+
     def _choose_service(self, route: Route, state: RouteState) -> ServiceName:
         return (
             route.targets[0].service
@@ -227,6 +251,8 @@
     if reason is RefusalReason.NO_REPLICA:
         estimated_s = outcome.retry_after_s if outcome else 0.0
         return 503, estimated_s or NO_REPLICA_RETRY_AFTER_S
+    if reason is RefusalReason.STOPPING:
+        return 503, 0.0
     if reason is RefusalReason.REJECTED_BY_REPLICAS:
         return 503, REJECTED_RETRY_AFTER_S
     if reason is RefusalReason.EXPIRED_UNSENT:
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -33,6 +33,7 @@
 from zinnia_entry.settings import EntrySettings, SettingsError
 from zinnia_entry.shares import LimitShares, PartRunners, RetryShares
 from zinnia_entry.sources import FOLLOWED_KINDS, SourceController, make_member
+from zinnia_entry.stopping import PlannedStop
 from zinnia_entry.subqueries import TierSubqueryHandler
 from zinnia_relay.exchange import FindingsSource
 from zinnia_relay.server import RelayServer
@@ -49,8 +50,6 @@
 RELOAD_INTERVAL_S = 5.0
 # After a stop signal, requests are still accepted until the load balancer sees the VM as unready.
 DRAIN_ACCEPT_S = 3.0
-# Time before the end of the grace period at which the process stops waiting for requests.
-GRACE_PERIOD_MARGIN_S = 0.5
 # Fraction of the memory for the answers of replicas that are being received.
 ANSWER_MEMORY_FRACTION = 0.125
 # Random bytes that tell the processes of a VM apart.
@@ -176,7 +175,8 @@
             settings.delegate_from,
         )
         self._subquery_server: SubqueryServer | None = None
-        self._is_stopping = False
+        self._stop = PlannedStop()
+        self._handler: TierHandler | None = None
         self._servers: list[CallerServer] = []
 
     def count_vms(self) -> int:
@@ -191,7 +191,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether this VM has a configuration and current data, and is not stopping."""
-        if self._is_stopping or self.catalog.configuration is None:
+        if self._stop.has_begun or self.catalog.configuration is None:
             return False
         return self._source_controller.has_started()
 
@@ -205,7 +205,7 @@
                     if signal_number != signal.SIGHUP:
                         break
                     self.reload("signal")
-                await self._stop()
+                await self._stop_serving()
                 nursery.cancel_scope.cancel()
         self.events.note("stop")
         self.events.flush()
@@ -253,7 +253,7 @@
             self.events,
             AnswerMemory(int(settings.memory_bytes * ANSWER_MEMORY_FRACTION)),
         )
-        handler = TierHandler(
+        self._handler = TierHandler(
             self.catalog,
             self._fleet,
             self._retry_budget,
@@ -263,8 +263,9 @@
             self._request_log,
             self._route_states,
             self._delegator if settings.peers is not None else None,
+            self._stop,
         )
-        callers = CallerServer(handler, self._get_limits, self.events)
+        callers = CallerServer(self._handler, self._get_limits, self.events)
         self._servers.append(callers)
         readiness = CallerServer(ReadinessHandler(lambda: self.is_ready), CallerLimits, self.events)
         nursery.start_soon(callers.serve, settings.callers.host, settings.callers.port, nursery)
@@ -341,16 +342,17 @@
         expiries = (self.catalog.find_expiry(), self._store_cache.find_hold_expiry())
         return min([next_check_at, *(at for at in expiries if at is not None)])
 
-    async def _stop(self) -> None:
+    async def _stop_serving(self) -> None:
         """Report unready, finish requests in progress, and return when no connection is open."""
         started_at = trio.current_time()
-        self._is_stopping = True
+        self._stop.begin(self._settings.grace_period_s)
+        self._handler.begin_stop()
         if self._subquery_server is not None:
             self._subquery_server.is_stopping = True
         for server in self._servers:
             server.is_draining = True
         self.events.note("stopping", busy=sum(server.active_requests for server in self._servers))
-        with trio.move_on_after(self._settings.grace_period_s - GRACE_PERIOD_MARGIN_S):
+        with trio.move_on_at(self._stop.wait_until):
             await trio.sleep(DRAIN_ACCEPT_S)
             for server in self._servers:
                 server.close_idle()
--- a/libs/entry/src/zinnia_entry/reasons.py
+++ b/libs/entry/src/zinnia_entry/reasons.py
@@ -15,6 +15,7 @@
     EXPIRED = "expired"
     EXPIRED_UNSENT = "expired_unsent"
     BAD_DEADLINE = "bad_deadline"
+    STOPPING = "stopping"
 
 
 class Phase(Enum):
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -196,6 +196,11 @@
                 times.append(replica.rate_limit.find_next_time(now))
         return min(times, default=None)
 
+    def estimate_slowness(self, service: ServiceName, now: float) -> float:
+        """Return the relative latency of the next request to a service, 1.0 without a replica."""
+        replica = self.choose(service, (), now)
+        return 1.0 if replica is None else replica.health.get_slowness(now)
+
     def choose_data_centre(self, service: ServiceName, now: float) -> DataCentreId | None:
         """Return the data centre whose replicas should answer a shard, None without a replica.
 
--- a/libs/sending/src/zinnia_sending/shards.py
+++ b/libs/sending/src/zinnia_sending/shards.py
@@ -90,6 +90,11 @@
         """The decisions made so far."""
         return tuple(self._trace)
 
+    def limit_end(self, end_at: float) -> None:
+        """End the run at the latest at ``end_at``, a monotonic time in seconds."""
+        self._end_at = min(self._end_at, end_at - REQUEST_END_MARGIN_S)
+        self._wake.set()
+
     def settle(self, attempt: Attempt, exchange: Exchange) -> None:
         """Handle the end of an attempt: accept its answer, retry, or settle the shard."""
         shard = attempt.shard
