Keep in one class why a replica gets no request, and until when

Draining, warm-up, named limits and suspension were checked in the fleet, and their states and clocks lay in the replica, its health and its limiter. No behaviour changes.

--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -1,7 +1,6 @@
 """The replicas of all services, and the selection of a replica for a request."""
 
 from collections.abc import Callable, Collection, Iterable
-from enum import Enum
 from random import Random
 
 import trio
@@ -12,6 +11,7 @@
 from zinnia_catalog.releases import ReleaseOrder
 from zinnia_catalog.replicas import ReplicaEntry
 from zinnia_catalog.routes import Configuration, ServiceLimits
+from zinnia_sending.availability import Obstacle
 from zinnia_sending.events import EventSink
 from zinnia_sending.health import Condition
 from zinnia_sending.rates import EqualRateShares, RateLimit, RateShares
@@ -40,21 +40,6 @@
 MIN_ACCEPTANCE_RATE = 0.05
 
 
-class Obstacle(Enum):
-    """Reason why a replica cannot get a request now."""
-
-    DRAINING = "draining"
-    GONE = "gone"
-    TRIED = "tried"
-    DATA_CENTRE_OUT = "data_centre_out"
-    VERSION_SHARE = "version_share"
-    WARMING_UP = "warming_up"
-    RATE_LIMITED = "rate_limited"
-    SUSPENDED = "suspended"
-    TRIAL_RUNNING = "trial_running"
-    CONNECTIONS_BUSY = "connections_busy"
-
-
 class Fleet(CatalogListener):
     """Keeps the known replicas by service and selects one for each request.
 
@@ -117,8 +102,9 @@
                 known.pool.limit = 0
                 known.pool.discard_idle(now)
             known.entry = entry
+            known.availability.is_draining = entry.is_draining
             if entry.warmup_remaining_s > 0:
-                known.mark_cold(entry.warmup_remaining_s, now)
+                known.availability.mark_cold(entry.warmup_remaining_s, now)
             return
         if known is not None:
             self._discard_replica(known)
@@ -155,7 +141,8 @@
         for replica in self._replicas.values():
             if replica.entry.data_centre == data_centre:
                 limits = self._limits.get(replica.entry.service)
-                replica.mark_cold(limits.warmup_s if limits else DEFAULT_RETURN_WARMUP_S, now)
+                warmup_s = limits.warmup_s if limits else DEFAULT_RETURN_WARMUP_S
+                replica.availability.mark_cold(warmup_s, now)
 
     def change_release(self, service: ServiceName, order: ReleaseOrder | None) -> None:
         """Apply a new, changed or withdrawn order for a version move."""
@@ -188,13 +175,9 @@
         """
         if self.choose(service, (), now) is not None:
             return None
-        times = []
-        for replica in self._services.get(service, ()):
-            if replica.health.get_condition(now) is Condition.SUSPENDED:
-                times.append(replica.health.get_trial_time())
-            elif replica.rate_limit is not None:
-                times.append(replica.rate_limit.find_next_time(now))
-        return min(times, default=None)
+        replicas = self._services.get(service, ())
+        times = [replica.availability.find_next_time(now) for replica in replicas]
+        return min((time for time in times if time is not None), default=None)
 
     def estimate_slowness(self, service: ServiceName, now: float) -> float:
         """Return the relative latency of the next request to a service, 1.0 without a replica."""
@@ -230,33 +213,25 @@
         lasting = self._find_lasting_obstacle(replica, excluded_version)
         if lasting is not None:
             return lasting
-        return Obstacle.TRIED if replica.id in tried else self._find_load_obstacle(replica, now)
+        if replica.id in tried:
+            return Obstacle.TRIED
+        obstacle = replica.availability.find_obstacle(now, self._compute_warmup_rate(replica, now))
+        if obstacle is not None:
+            return obstacle
+        return None if replica.pool.has_capacity else Obstacle.CONNECTIONS_BUSY
 
     def _find_lasting_obstacle(
         self, replica: Replica, excluded_version: VersionId | None
     ) -> Obstacle | None:
         """Return an obstacle that holds for requests of all VMs."""
+        obstacle = replica.availability.find_lasting_obstacle()
+        if obstacle is not None:
+            return obstacle
         entry = replica.entry
-        if entry.is_draining:
-            return Obstacle.DRAINING
-        if replica.is_gone:
-            return Obstacle.GONE
         if entry.data_centre in self._excluded_data_centres:
             return Obstacle.DATA_CENTRE_OUT
         return Obstacle.VERSION_SHARE if entry.version == excluded_version else None
 
-    def _find_load_obstacle(self, replica: Replica, now: float) -> Obstacle | None:
-        if replica.is_cold(now) and not self._allows_warmup(replica, now):
-            return Obstacle.WARMING_UP
-        if replica.rate_limit is not None and not replica.rate_limit.allows_send(now):
-            return Obstacle.RATE_LIMITED
-        condition = replica.health.get_condition(now)
-        if condition is Condition.SUSPENDED:
-            return Obstacle.SUSPENDED
-        if condition is Condition.TRIAL_DUE and replica.health.outstanding:
-            return Obstacle.TRIAL_RUNNING
-        return None if replica.pool.has_capacity else Obstacle.CONNECTIONS_BUSY
-
     def choose(
         self, service: ServiceName, tried: Collection[ReplicaId], now: float
     ) -> Replica | None:
@@ -278,26 +253,19 @@
 
     def record_send(self, replica: Replica, key: int, typical_latency_s: float, now: float) -> None:
         """Record a request that is about to be sent, with the typical latency of its route."""
-        health = replica.health
-        if health.get_condition(now) is Condition.TRIAL_DUE:
-            health.start_trial(now)
-        health.record_start(key, typical_latency_s, now)
-        if replica.is_cold(now):
-            limits = self._limits.get(replica.entry.service)
-            replica.count_warmup_request(limits, self._get_warmup_share(), now)
-        if replica.rate_limit is not None:
-            replica.rate_limit.count_send(now)
+        replica.availability.count_send(now, self._compute_warmup_rate(replica, now))
+        replica.health.record_start(key, typical_latency_s, now)
         self.versions.count_send(replica.entry.service, replica.entry.version)
 
     def record_rate_limit(self, replica: Replica, limit_per_s: float | None) -> None:
         """Apply the limit in requests a second that an answer named, None if it named none."""
         now = trio.current_time()
-        known = replica.rate_limit
+        known = replica.availability.rate_limit
         if limit_per_s is None:
-            replica.rate_limit = None
+            replica.availability.rate_limit = None
         elif known is None:
             share = self._rate_shares.get_share(replica.entry, limit_per_s)
-            replica.rate_limit = RateLimit(limit_per_s, share, now, self._random)
+            replica.availability.rate_limit = RateLimit(limit_per_s, share, now, self._random)
         elif known.needs_share(limit_per_s, now):
             share = self._rate_shares.get_share(replica.entry, limit_per_s)
             known.change_share(limit_per_s, share, now)
@@ -344,7 +312,7 @@
         rejection_rate = health.get_rejection_rate(now)
         if rejection_rate:
             score /= max(MIN_ACCEPTANCE_RATE, 1.0 - rejection_rate)
-        if replica.is_cold(now):
+        if replica.availability.is_cold(now):
             score += COLD_PENALTY
         if health.get_condition(now) is Condition.TRIAL_DUE:
             score *= 2.0
@@ -352,10 +320,6 @@
             score += OTHER_DATA_CENTRE_PENALTY
         return score * (1.0 + SCORE_JITTER * self._random.random())
 
-    def _allows_warmup(self, replica: Replica, now: float) -> bool:
-        limits = self._limits.get(replica.entry.service)
-        return replica.allows_warmup_request(limits, self._get_warmup_share(), now)
-
     def _compute_connection_limit(self, service: ServiceName) -> int:
         limits = self._limits.get(service)
         if limits is None:
@@ -363,11 +327,16 @@
         share = limits.max_connections * USED_CONNECTION_FRACTION / max(1, self._count_vms())
         return max(MIN_CONNECTIONS, int(share))
 
-    def _get_warmup_share(self) -> float:
-        return USED_WARMUP_RATE_FRACTION / max(1, self._count_vms())
+    def _compute_warmup_rate(self, replica: Replica, now: float) -> float:
+        """Return this VM's share of the rate for a cold replica, 0 without a limit."""
+        limits = self._limits.get(replica.entry.service)
+        if limits is None or not replica.availability.is_cold(now):
+            return 0.0
+        share = USED_WARMUP_RATE_FRACTION / max(1, self._count_vms())
+        return limits.warmup_rate_per_s * share
 
     def _discard_replica(self, replica: Replica) -> None:
-        replica.is_gone = True
+        replica.availability.is_gone = True
         replica.pool.close()
         del self._replicas[replica.id]
         replicas = self._services[replica.entry.service]
--- a/libs/sending/src/zinnia_sending/replica.py
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -1,4 +1,4 @@
-"""A replica as this VM uses it: catalog entry, connections, health and warm-up."""
+"""A replica as this VM uses it: catalog entry, connections, health and availability."""
 
 from collections.abc import Sequence
 from dataclasses import replace
@@ -7,7 +7,6 @@
 
 from zinnia_catalog.ids import ReplicaId
 from zinnia_catalog.replicas import ReplicaEntry
-from zinnia_catalog.routes import ServiceLimits
 from zinnia_sending.answers import (
     AnswerFacts,
     AnswerFault,
@@ -15,6 +14,7 @@
     ExchangeResult,
     ReplicaAnswer,
 )
+from zinnia_sending.availability import Availability
 from zinnia_sending.connections import (
     Connection,
     ConnectionEndedError,
@@ -26,62 +26,27 @@
 from zinnia_sending.limits import AnswerLimits
 from zinnia_sending.parser import AnswerParser, BadAnswerError
 from zinnia_sending.protocol import PreparedRequest, ReplicaProtocol
-from zinnia_sending.rates import RateLimit, TokenBucket
 
 
 class Replica:
     """Sends requests to one replica.
 
-    ``is_gone`` is set once the replica is removed or another replica answers at its address; it
-    gets no more requests then. ``rate_limit`` is the limit that its last answer named, if any.
+    ``availability`` says when it may get one.
     """
 
     def __init__(self, entry: ReplicaEntry, connection_limit: int, now: float) -> None:
         self.entry = entry
         self.health = ReplicaHealth(now)
         self.pool = ConnectionPool(entry.host, entry.port, connection_limit)
-        self.warm_at = now + entry.warmup_remaining_s
-        self.is_gone = False
-        self.rate_limit: RateLimit | None = None
-        self._warmup_limiter: TokenBucket | None = None
+        self.availability = Availability(
+            self.health, entry.is_draining, now + entry.warmup_remaining_s
+        )
 
     @property
     def id(self) -> ReplicaId:
         """Identifier of the replica."""
         return self.entry.id
 
-    def is_cold(self, now: float) -> bool:
-        """Whether the replica is still warming up."""
-        return now < self.warm_at
-
-    def mark_cold(self, duration_s: float, now: float) -> None:
-        """Treat the replica as cold for at least ``duration_s`` seconds from now."""
-        self.warm_at = max(self.warm_at, now + duration_s)
-
-    def allows_warmup_request(
-        self, limits: ServiceLimits | None, rate_share: float, now: float
-    ) -> bool:
-        """Return whether this VM may send a request to the cold replica now.
-
-        This VM's share of the warm-up rate is ``rate_share`` times the rate in ``limits``.
-        """
-        if limits is None or limits.warmup_rate_per_s <= 0:
-            return True
-        return self._get_warmup_limiter(limits.warmup_rate_per_s * rate_share, now).has_token(now)
-
-    def count_warmup_request(
-        self, limits: ServiceLimits | None, rate_share: float, now: float
-    ) -> None:
-        """Count a request that is about to be sent against the warm-up rate of the replica."""
-        if limits is not None and limits.warmup_rate_per_s > 0:
-            self._get_warmup_limiter(limits.warmup_rate_per_s * rate_share, now).take_token(now)
-
-    def _get_warmup_limiter(self, rate_per_s: float, now: float) -> TokenBucket:
-        if self._warmup_limiter is None:
-            self._warmup_limiter = TokenBucket(rate_per_s, now)
-        self._warmup_limiter.rate_per_s = rate_per_s
-        return self._warmup_limiter
-
     async def exchange(
         self,
         request: PreparedRequest,
@@ -129,9 +94,9 @@
 
     def _classify_answer(self, raw: RawAnswer, facts: AnswerFacts, started_at: float) -> Exchange:
         if facts.warmup_s:
-            self.mark_cold(facts.warmup_s, trio.current_time())
+            self.availability.mark_cold(facts.warmup_s, trio.current_time())
         if facts.is_wrong_replica:
-            self.is_gone = True
+            self.availability.is_gone = True
             return _end_exchange(
                 ExchangeResult.WRONG_REPLICA, started_at, "another replica answered"
             )
--- a/libs/sending/tests/test_fleet.py
+++ b/libs/sending/tests/test_fleet.py
@@ -112,7 +112,7 @@
         suspend_replica(known.health, 0.0)
         self.call_in_trio(lambda: fleet.update_replica(make_entry("a", started_ms=2)))
         self.assertIsNot(known, fleet.get_replica("a"))
-        self.assertTrue(known.is_gone)
+        self.assertTrue(known.availability.is_gone)
 
     def test_cold_replica_gets_at_most_the_warmup_rate_share_of_this_vm(self):
         """Load pattern: replicas of a data centre return cold and all VMs send to them."""
--- a/libs/sending/tests/test_rates.py
+++ b/libs/sending/tests/test_rates.py
@@ -4,8 +4,8 @@
 import trio
 from fakes import make_entry, make_fleet, run_trio
 
+from zinnia_sending.availability import Obstacle
 from zinnia_sending.events import EventSink
-from zinnia_sending.fleet import Obstacle
 from zinnia_sending.rates import RateLimit, TrialShare
 
 LIMIT_PER_S = 4.0
