Send nothing more to a replica that says in an answer that it leaves

No code knew the header Server-Leaving: VMs went by the store alone, which may list such a replica as ready, late, not at all, or from an older copy.

Change: the head of any answer is looked at as soon as it is read: failures, refusals, answers that break off and late ones to earlier requests. From then on the replica counts as draining for its id and start: no first send, hedge, retry or delegated send; a request that was opening a connection goes elsewhere; what is in progress goes on. An entry that is removed and written again does not end it.

Told through peers, a VM that is cut off finds out itself.

--- a/libs/delegation/src/zinnia_delegation/links.py
+++ b/libs/delegation/src/zinnia_delegation/links.py
@@ -17,6 +17,7 @@
 )
 from zinnia_delegation.outbox import Outbox
 from zinnia_relay.client import open_stream
+from zinnia_relay.exchange import decode_departures
 from zinnia_relay.frames import FrameError, FrameStream
 from zinnia_relay.messages import DECODE_ERRORS, decode, encode
 from zinnia_sending.delegation import Delegation, DelegationEnd, PartialResult, ShardFailure
@@ -235,4 +236,5 @@
         tuple((services[index], signature) for index, signature in signatures),
         reply.records,
         tuple(ShardFailure(services[index], sends) for index, sends in failures),
+        tuple(decode_departures(reply.departures)),
     )
--- a/libs/delegation/src/zinnia_delegation/messages.py
+++ b/libs/delegation/src/zinnia_delegation/messages.py
@@ -5,6 +5,8 @@
 from thrift.protocol.TBase import TBase
 from thrift.Thrift import TType
 
+from zinnia_relay.exchange import DEPARTURE_LIST, DepartureRecord
+
 # First frame of a connection, which selects the delegation protocol on the peer address.
 DELEGATION_PROTOCOL_ID = b"zinnia subqueries 2"
 
@@ -123,7 +125,7 @@
     """One frame to the VM that delegates. ``kind`` is the value of a ``ReplyKind``.
 
     ``shards`` and ``failed`` are indexes into the ``services`` of the start. After a refusal, no
-    delegations are to be sent for ``hold_ms``.
+    delegations are to be sent for ``hold_ms``. ``departures`` lists replicas that leave.
     """
 
     thrift_spec = (
@@ -137,6 +139,7 @@
         (7, TType.LIST, "failed_sends", (TType.I32, None, False), None),
         (8, TType.BOOL, "is_last", None, None),
         (9, TType.I32, "hold_ms", None, None),
+        (10, TType.LIST, "departures", DEPARTURE_LIST, None),
     )
 
     def __init__(
@@ -150,6 +153,7 @@
         failed_sends: list[int] | None = None,
         is_last: bool = False,
         hold_ms: int = 0,
+        departures: list[DepartureRecord] | None = None,
     ) -> None:
         self.id = id
         self.kind = kind
@@ -160,3 +164,4 @@
         self.failed_sends = failed_sends or []
         self.is_last = is_last
         self.hold_ms = hold_ms
+        self.departures = departures or []
--- a/libs/delegation/src/zinnia_delegation/server.py
+++ b/libs/delegation/src/zinnia_delegation/server.py
@@ -16,6 +16,7 @@
     SubqueryStart,
 )
 from zinnia_delegation.outbox import Outbox
+from zinnia_relay.exchange import encode_departures
 from zinnia_relay.frames import FrameError, FrameStream
 from zinnia_relay.messages import DECODE_ERRORS, decode, encode
 from zinnia_sending.delegation import PartialResult
@@ -185,6 +186,7 @@
             [indexes[failure.service] for failure in result.failures],
             [failure.sends for failure in result.failures],
             is_last,
+            departures=encode_departures(result.departures),
         )
         self._outbox.put(encode(reply))
 
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -11,6 +11,7 @@
 
 from zinnia_catalog.catalog import Catalog, ObjectDecoder
 from zinnia_catalog.collections import Collection
+from zinnia_catalog.departures import Departure
 from zinnia_catalog.evidence import Evidence
 from zinnia_catalog.ids import ProcessId, VmName
 from zinnia_catalog.members import rank_names
@@ -80,6 +81,14 @@
         """Apply observations of other VMs to the fleet."""
         self._fleet.apply_observations(observations, trio.current_time())
 
+    def list_departures(self) -> list[Departure]:
+        """Return the replicas that are known to leave."""
+        return self._fleet.list_departures(trio.current_time())
+
+    def apply_departures(self, departures: Iterable[Departure]) -> None:
+        """Apply departures that other VMs know."""
+        self._fleet.apply_departures(departures, trio.current_time())
+
     def list_evidence(self) -> list[Evidence]:
         """Return the evidence of this process, and what has changed of that of others."""
         return self._fleet.versions.list_evidence(trio.current_time())
--- a/libs/entry/tests/release_fleet.py
+++ b/libs/entry/tests/release_fleet.py
@@ -56,6 +56,12 @@
     def apply_observations(self, observations, now):
         pass
 
+    def list_departures(self, now):
+        return []
+
+    def apply_departures(self, departures, now):
+        pass
+
     def follow(self, order):
         if order is not self.order:
             self.order = order
--- a/libs/relay/src/zinnia_relay/exchange.py
+++ b/libs/relay/src/zinnia_relay/exchange.py
@@ -7,6 +7,7 @@
 from thrift.protocol.TBase import TBase
 from thrift.Thrift import TType
 
+from zinnia_catalog.departures import Departure
 from zinnia_catalog.evidence import AnswerCounts, Evidence
 from zinnia_catalog.ids import ProcessId, ReplicaId, ServiceName, VersionId
 from zinnia_catalog.observations import Observation, ObservationTable
@@ -70,6 +71,25 @@
         self.sends = sends
 
 
+class DepartureRecord(TBase):
+    """A replica that has said that it leaves, by its id and the time of its start."""
+
+    thrift_spec = (
+        None,
+        (1, TType.STRING, "replica", "UTF8", None),
+        (2, TType.I64, "started_ms", None, None),
+        (3, TType.I32, "age_ms", None, None),
+    )
+
+    def __init__(self, replica: str = "", started_ms: int = 0, age_ms: int = 0) -> None:
+        self.replica = replica
+        self.started_ms = started_ms
+        self.age_ms = age_ms
+
+
+DEPARTURE_LIST = (TType.STRUCT, [DepartureRecord, DepartureRecord.thrift_spec], False)
+
+
 class Findings(TBase):
     """What a VM has found out by itself, or heard from other VMs."""
 
@@ -89,15 +109,18 @@
             (TType.STRUCT, [EvidenceRecord, EvidenceRecord.thrift_spec], False),
             None,
         ),
+        (3, TType.LIST, "departures", DEPARTURE_LIST, None),
     )
 
     def __init__(
         self,
         observed: list[ObservedReplica] | None = None,
         evidence: list[EvidenceRecord] | None = None,
+        departures: list[DepartureRecord] | None = None,
     ) -> None:
         self.observed = observed or []
         self.evidence = evidence or []
+        self.departures = departures or []
 
 
 class FindingsSource(ABC):
@@ -111,6 +134,14 @@
     def apply_observations(self, observations: Iterable[Observation]) -> None:
         """Apply observations of other VMs."""
 
+    @abstractmethod
+    def list_departures(self) -> list[Departure]:
+        """Return the replicas that are known to leave."""
+
+    @abstractmethod
+    def apply_departures(self, departures: Iterable[Departure]) -> None:
+        """Apply departures that other VMs know."""
+
     @abstractmethod
     def list_evidence(self) -> list[Evidence]:
         """Return the evidence of this process, and what has changed of that of others."""
@@ -141,13 +172,13 @@
         """Return the findings to send to a peer."""
         if self._source is None:
             return Findings()
-        return Findings(self._list_observed(), encode_evidence(self._source.list_evidence()))
+        return self._make_findings(self._source.list_evidence())
 
     def make_reply(self) -> Findings:
         """Return the findings of all VMs for a peer."""
         if self._source is None:
             return Findings()
-        return Findings(self._list_observed(), encode_evidence(self._source.list_totals()))
+        return self._make_findings(self._source.list_totals())
 
     def apply(self, findings: Findings) -> None:
         """Apply the findings of a peer."""
@@ -155,8 +186,16 @@
             return
         added = self._observations.merge(decode_observations(findings.observed))
         self._source.apply_observations(added)
+        self._source.apply_departures(decode_departures(findings.departures))
         self._source.merge_evidence(decode_evidence(findings.evidence))
 
+    def _make_findings(self, evidence: list[Evidence]) -> Findings:
+        return Findings(
+            self._list_observed(),
+            encode_evidence(evidence),
+            encode_departures(self._source.list_departures()),
+        )
+
     def _list_observed(self) -> list[ObservedReplica]:
         self._observations.merge(self._source.list_observations())
         return encode_observations(self._observations.list_fresh())
@@ -178,6 +217,21 @@
     ]
 
 
+def encode_departures(departures: Iterable[Departure]) -> list[DepartureRecord]:
+    """Return departures in their wire format."""
+    return [
+        DepartureRecord(item.replica, item.started_ms, int(item.age_s * 1000))
+        for item in departures
+    ]
+
+
+def decode_departures(records: Iterable[DepartureRecord]) -> list[Departure]:
+    """Return departures from their wire format."""
+    return [
+        Departure(ReplicaId(item.replica), item.started_ms, item.age_ms / 1000) for item in records
+    ]
+
+
 def encode_evidence(evidence: Iterable[Evidence]) -> list[EvidenceRecord]:
     """Return evidence in its wire format."""
     return [
--- a/libs/sending/src/zinnia_sending/answers.py
+++ b/libs/sending/src/zinnia_sending/answers.py
@@ -56,7 +56,8 @@
     """Facts read from the headers of an answer.
 
     ``warmup_s`` is how long the replica remains cold in seconds, and ``rate_limit_per_s`` the
-    number of requests a second that it takes from all VMs; None if there is no such header.
+    number of requests a second that it takes from all VMs; None if there is no such header. With
+    ``is_leaving`` the replica says that it leaves.
     """
 
     request_id: bytes
@@ -66,6 +67,7 @@
     has_encoding: bool
     warmup_s: float | None = None
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/sending/src/zinnia_sending/delegation.py
+++ b/libs/sending/src/zinnia_sending/delegation.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from zinnia_catalog.departures import Departure
 from zinnia_catalog.ids import DataCentreId, ServiceName, VmName
 
 if TYPE_CHECKING:
@@ -44,11 +45,13 @@
 
     ``signatures`` holds each shard that has answered, with the signature of its answer; ``records``
     holds the greatest records of these answers; ``failures`` lists the shards without an answer.
+    ``departures`` lists replicas that have said that they leave.
     """
 
     signatures: tuple[tuple[ServiceName, bytes], ...]
     records: bytes
     failures: tuple[ShardFailure, ...] = ()
+    departures: tuple[Departure, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -6,16 +6,18 @@
 import trio
 
 from zinnia_catalog.catalog import CatalogListener
+from zinnia_catalog.departures import Departure, DepartureTable
 from zinnia_catalog.ids import DataCentreId, ReplicaId, ServiceName, VersionId
 from zinnia_catalog.observations import Observation
 from zinnia_catalog.releases import ReleaseOrder
 from zinnia_catalog.replicas import ReplicaEntry
 from zinnia_catalog.routes import Configuration, ServiceLimits
+from zinnia_sending.answers import AnswerFacts
 from zinnia_sending.availability import Obstacle
 from zinnia_sending.events import EventSink
 from zinnia_sending.health import Condition
 from zinnia_sending.rates import EqualRateShares, RateLimit, RateShares
-from zinnia_sending.replica import Replica
+from zinnia_sending.replica import Replica, ReplicaListener
 from zinnia_sending.versions import VersionShares
 
 # Fraction of the connection limit of a replica that the known VMs use together; the rest is for
@@ -40,7 +42,7 @@
 MIN_ACCEPTANCE_RATE = 0.05
 
 
-class Fleet(CatalogListener):
+class Fleet(CatalogListener, ReplicaListener):
     """Keeps the known replicas by service and selects one for each request.
 
     Parameters
@@ -78,6 +80,7 @@
         self._services: dict[ServiceName, list[Replica]] = {}
         self._limits: dict[ServiceName, ServiceLimits] = {}
         self._excluded_data_centres: set[DataCentreId] = set()
+        self._departures = DepartureTable()
 
     def adopt_configuration(self, configuration: Configuration) -> None:
         """Apply the limits of all services and adjust the connection limits of their replicas."""
@@ -99,16 +102,18 @@
         if known is not None and _is_same_incarnation(known.entry, entry):
             if entry.is_draining and not known.entry.is_draining:
                 self._events.note("replica_draining", replica=entry.id, service=entry.service)
-                known.pool.limit = 0
-                known.pool.discard_idle(now)
+                known.start_draining(now)
             known.entry = entry
-            known.availability.is_draining = entry.is_draining
+            if not entry.is_draining and not self._departures.has(entry):
+                known.availability.is_draining = False
             if entry.warmup_remaining_s > 0:
                 known.availability.mark_cold(entry.warmup_remaining_s, now)
             return
         if known is not None:
             self._discard_replica(known)
-        replica = Replica(entry, self._compute_connection_limit(entry.service), now)
+        replica = Replica(entry, self._compute_connection_limit(entry.service), now, self)
+        if self._departures.has(entry):
+            replica.start_draining(now)
         self._replicas[entry.id] = replica
         self._services.setdefault(entry.service, []).append(replica)
         self._events.note(
@@ -277,6 +282,35 @@
                 limit_per_s=limit_per_s,
             )
 
+    def record_facts(self, replica: Replica, facts: AnswerFacts) -> None:
+        """Send nothing more to a replica that says that it leaves."""
+        if facts.is_leaving:
+            now = trio.current_time()
+            entry = replica.entry
+            if self._departures.add(entry.id, entry.started_ms, now):
+                self._start_departure(replica, False)
+
+    def list_departures(self, now: float) -> list[Departure]:
+        """Return the replicas that have said not long ago that they leave."""
+        return self._departures.list_recent(now)
+
+    def apply_departures(self, departures: Iterable[Departure], now: float) -> None:
+        """Apply departures that other VMs know."""
+        for departure in self._departures.merge(departures, now):
+            replica = self._replicas.get(departure.replica)
+            if replica is not None and self._departures.has(replica.entry):
+                self._start_departure(replica, True)
+
+    def _start_departure(self, replica: Replica, was_told: bool) -> None:
+        """Drain a replica that says that it leaves, to this VM or as another VM ``was_told`` of."""
+        replica.start_draining(trio.current_time())
+        self._events.note(
+            "replica_leaving",
+            replica=replica.id,
+            service=replica.entry.service,
+            by_peer=was_told,
+        )
+
     def list_observations(self, now: float) -> list[Observation]:
         """Return the replicas that this VM itself has observed to be slow or failing."""
         found = []
--- a/libs/sending/src/zinnia_sending/replica.py
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -1,6 +1,7 @@
 """A replica as this VM uses it: catalog entry, connections, health and availability."""
 
-from collections.abc import Sequence
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 import trio
@@ -28,14 +29,29 @@
 from zinnia_sending.protocol import PreparedRequest, ReplicaProtocol
 
 
+class ReplicaListener(ABC):
+    """Receives what replicas say about themselves."""
+
+    @abstractmethod
+    def record_facts(self, replica: "Replica", facts: AnswerFacts) -> None:
+        """Record the facts in the head of an answer, which may be to an earlier request."""
+
+
 class Replica:
     """Sends requests to one replica.
 
     ``availability`` says when it may get one.
     """
 
-    def __init__(self, entry: ReplicaEntry, connection_limit: int, now: float) -> None:
+    def __init__(
+        self,
+        entry: ReplicaEntry,
+        connection_limit: int,
+        now: float,
+        listener: ReplicaListener | None = None,
+    ) -> None:
         self.entry = entry
+        self._listener = listener
         self.health = ReplicaHealth(now)
         self.pool = ConnectionPool(entry.host, entry.port, connection_limit)
         self.availability = Availability(
@@ -47,6 +63,22 @@
         """Identifier of the replica."""
         return self.entry.id
 
+    def start_draining(self, now: float) -> None:
+        """Send nothing more to the replica; requests in progress there go on."""
+        self.availability.is_draining = True
+        self.pool.limit = 0
+        self.pool.discard_idle(now)
+
+    def record_facts(self, facts: AnswerFacts) -> None:
+        """Record the facts in the head of an answer, as soon as it is read."""
+        if facts.is_wrong_replica:
+            self.availability.is_gone = True
+            return
+        if facts.warmup_s:
+            self.availability.mark_cold(facts.warmup_s, trio.current_time())
+        if self._listener is not None:
+            self._listener.record_facts(self, facts)
+
     async def exchange(
         self,
         request: PreparedRequest,
@@ -64,14 +96,15 @@
         except NotConnectedError as error:
             return _end_exchange(ExchangeResult.NOT_SENT, started_at, str(error))
         is_kept = False
-        reader = _AnswerReader(request, protocol, connection)
+        reader = _AnswerReader(request, protocol, connection, self.record_facts)
         parser = AnswerParser(request.is_head, reader.is_own, limits)
         try:
             remaining_s = end_at - trio.current_time()
-            if remaining_s <= 0:
+            cause = "no time left" if remaining_s <= 0 else self._find_new_obstacle()
+            if cause:
                 is_kept = True
                 self.pool.release(connection, trio.current_time(), None)
-                return _end_exchange(ExchangeResult.NOT_SENT, started_at, "no time left")
+                return _end_exchange(ExchangeResult.NOT_SENT, started_at, cause)
             raw = await connection.exchange(request.render(self.id, remaining_s), parser)
             is_kept = raw.is_reusable
             if is_kept:
@@ -92,11 +125,13 @@
             if not is_kept:
                 self.pool.discard(connection)
 
+    def _find_new_obstacle(self) -> str:
+        """Return why the replica gets no request anymore since it was chosen, or nothing."""
+        obstacle = self.availability.find_lasting_obstacle()
+        return "" if obstacle is None else f"the replica is {obstacle.value}"
+
     def _classify_answer(self, raw: RawAnswer, facts: AnswerFacts, started_at: float) -> Exchange:
-        if facts.warmup_s:
-            self.availability.mark_cold(facts.warmup_s, trio.current_time())
         if facts.is_wrong_replica:
-            self.availability.is_gone = True
             return _end_exchange(
                 ExchangeResult.WRONG_REPLICA, started_at, "another replica answered"
             )
@@ -120,12 +155,17 @@
     """Recognizes the answer to one request and keeps the facts of the latest answer."""
 
     def __init__(
-        self, request: PreparedRequest, protocol: ReplicaProtocol, connection: Connection
+        self,
+        request: PreparedRequest,
+        protocol: ReplicaProtocol,
+        connection: Connection,
+        record_facts: Callable[[AnswerFacts], None],
     ) -> None:
         self.facts: AnswerFacts | None = None
         self._request_id = request.request_id
         self._protocol = protocol
         self._connection = connection
+        self._record_facts = record_facts
 
     def is_own(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> bool:
         """Return whether an answer has the id of the request.
@@ -134,6 +174,7 @@
         it is then a late answer to an earlier request.
         """
         self.facts = self._protocol.read_facts(status, headers)
+        self._record_facts(self.facts)
         if not self.facts.request_id:
             return not self._connection.has_request_ids
         self._connection.has_request_ids = True
--- a/libs/sending/tests/test_fleet.py
+++ b/libs/sending/tests/test_fleet.py
@@ -3,7 +3,9 @@
 import trio
 from fakes import make_entry, make_fleet, run_trio, suspend_replica
 
+from zinnia_catalog.departures import Departure
 from zinnia_catalog.releases import ReleaseOrder, ReleaseState
+from zinnia_sending.answers import AnswerFacts
 from zinnia_sending.versions import TRIAL_SLACK_FRACTION, USED_SHARE_FRACTION, ExposureBounds
 
 
@@ -172,3 +174,45 @@
         obstacles = self.call_in_trio(lambda: fleet.find_obstacles("s", ("d",), 0.1))
         expected = {"a": "draining", "b": "data_centre_out", "c": "suspended", "d": "tried"}
         self.assertEqual(expected, obstacles)
+
+    def make_leaving(self, *entries):
+        """Return a fleet whose replica ``a`` has said that it leaves, and another replica."""
+        fleet = make_fleet(make_entry("a"), make_entry("b", data_centre="dc2"), *entries)
+        facts = AnswerFacts(b"", b"", False, False, False, is_leaving=True)
+        fleet.record_facts(fleet.get_replica("a"), facts)
+        return fleet
+
+    def test_replica_that_says_that_it_leaves_gets_nothing_more(self):
+        """Load pattern: the store lists it as ready, late, or from an older copy."""
+
+        def choose():
+            fleet = self.make_leaving()
+            fleet.update_replica(make_entry("a", warmup_remaining_s=1.0))
+            found = {fleet.choose("s", (), trio.current_time()).id for _ in range(50)}
+            fleet.remove_replica("a", "its entry lapsed")
+            fleet.update_replica(make_entry("a"))
+            return found | {fleet.choose("s", (), trio.current_time()).id for _ in range(50)}
+
+        self.assertEqual({"b"}, self.call_in_trio(choose))
+
+    def test_departure_that_another_vm_knows_holds_for_the_same_start_only(self):
+        """Load pattern: a replica starts again under its id while VMs tell of its departure."""
+
+        def choose(started_ms):
+            fleet = make_fleet(make_entry("a", started_ms=started_ms))
+            fleet.apply_departures([Departure("a", 1, 2.0)], trio.current_time())
+            return fleet.choose("s", (), trio.current_time())
+
+        self.assertIsNone(self.call_in_trio(lambda: choose(1)))
+        self.assertEqual("a", self.call_in_trio(lambda: choose(2)).id)
+
+    def test_departure_that_is_known_before_the_entry_holds(self):
+        """Load pattern: a VM starts and hears of a departure before it lists the replicas."""
+
+        def choose():
+            fleet = make_fleet()
+            fleet.apply_departures([Departure("a", 1, 2.0)], trio.current_time())
+            fleet.update_replica(make_entry("a"))
+            return fleet.choose("s", (), trio.current_time())
+
+        self.assertIsNone(self.call_in_trio(choose))
--- a/libs/sending/tests/test_replica.py
+++ b/libs/sending/tests/test_replica.py
@@ -6,7 +6,7 @@
 
 from zinnia_sending.answers import AnswerFacts, AnswerFault, ExchangeResult
 from zinnia_sending.protocol import PreparedRequest, ReplicaProtocol
-from zinnia_sending.replica import Replica
+from zinnia_sending.replica import Replica, ReplicaListener
 
 LIMIT_S = 2.0
 COPY_DELAY_S = 0.002
@@ -34,6 +34,7 @@
             b"not-run" in found,
             status == 421,
             False,
+            is_leaving=b"leaving" in found,
         )
 
     def unpack(self, data):
@@ -87,9 +88,22 @@
                     return
 
 
+class RecordingListener(ReplicaListener):
+    def __init__(self):
+        self.facts = []
+
+    def record_facts(self, replica, facts):
+        self.facts.append(facts)
+
+
 class ReplicaExchangeTest(unittest.TestCase):
-    def exchange(self, answers, count=1, idempotent=True, pause_s=0.0):
-        """Return the scripted replica and the results of ``count`` exchanges."""
+    def exchange(
+        self, answers, count=1, idempotent=True, pause_s=0.0, listener=None, before_send=None
+    ):
+        """Return the scripted replica and the results of ``count`` exchanges.
+
+        ``before_send`` is called with the replica while a connection is opened.
+        """
         scripted = ScriptedReplica(answers)
         results = []
 
@@ -98,7 +112,9 @@
                 listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
                 port = listeners[0].socket.getsockname()[1]
                 nursery.start_soon(trio.serve_listeners, scripted.serve, listeners)
-                replica = Replica(make_entry("r", port=port), 4, trio.current_time())
+                replica = Replica(make_entry("r", port=port), 4, trio.current_time(), listener)
+                if before_send is not None:
+                    nursery.start_soon(before_send, replica)
                 for _ in range(count):
                     with trio.move_on_after(LIMIT_S):
                         end_at = trio.current_time() + LIMIT_S
@@ -112,6 +128,40 @@
         trio.run(main)
         return scripted, results
 
+    def record_leaving(self, answers, count=1):
+        """Return whether the replica is known to leave after exchanges with these answers."""
+        listener = RecordingListener()
+        self.exchange(answers, count, listener=listener)
+        return any(facts.is_leaving for facts in listener.facts)
+
+    def test_any_answer_of_a_replica_may_say_that_it_leaves(self):
+        """Guards against answers whose head is not looked at: failures, late and broken ones."""
+        leaving = b"\r\nLeaving: 1\r\n\r\n"
+        failure = make_answer().replace(b"200 OK", b"500 Failed")
+        refusal = make_answer().replace(b"200 OK", b"503 Busy").replace(b"Seal: s", b"Not-Run: 1")
+        late = make_answer(b"other")
+        for answer in (make_answer(), failure, refusal, late, make_answer()[:-3]):
+            with self.subTest(answer=answer):
+                changed = answer.replace(b"\r\n\r\n", leaving)
+                self.assertTrue(self.record_leaving([changed]))
+                self.assertFalse(self.record_leaving([answer]))
+
+    def test_answer_of_another_replica_does_not_say_that_this_one_leaves(self):
+        """Guards against a new replica at the address that is taken for the old one."""
+        answer = make_answer().replace(b"200 OK", b"421 Other")
+        answer = answer.replace(b"\r\n\r\n", b"\r\nLeaving: 1\r\n\r\n")
+        self.assertFalse(self.record_leaving([answer]))
+
+    def test_request_that_waits_for_a_connection_is_not_sent_once_the_replica_leaves(self):
+        """Load pattern: many requests open connections as the first answer arrives."""
+
+        async def leave(replica):
+            replica.start_draining(trio.current_time())
+
+        scripted, results = self.exchange([make_answer()], before_send=leave)
+        self.assertIs(ExchangeResult.NOT_SENT, results[0].result)
+        self.assertEqual(0, scripted.requests)
+
     def test_connection_is_reused(self):
         """Guards against a TCP handshake for each request."""
         scripted, results = self.exchange([make_answer()] * 3, count=3)
