Send nothing to a replica for the time for which it turns requests away

A replica's Retry-After on a 503 was not looked at: each VM went on with first sends, hedges and retries (317 of 350 requests refused by a replica that had asked for 2 s, with another one beside it).

Change: the time holds for all uses of the replica by this VM, as Availability knows of it with drain, warm-up, limits and suspension; a request that was opening a connection goes elsewhere, and such failures do not count against the replica or its version. A VM returns up to a quarter of the time later, which differs by VM, and with one request at first. Times that are negative or no number are not obeyed, longer ones than 60 s for 60 s; replica_turned_away logs both figures. If too few shards have a usable replica the caller is refused at once, with the earliest time at which enough of them may have one; the same now holds for requests that replicas have refused.

--- a/libs/entry/src/zinnia_entry/handler.py
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -248,13 +248,13 @@
         return 504, 0.0
     if reason is RefusalReason.NO_CONFIGURATION:
         return 503, CONFIGURATION_RETRY_AFTER_S
+    estimated_s = outcome.retry_after_s if outcome else 0.0
     if reason is RefusalReason.NO_REPLICA:
-        estimated_s = outcome.retry_after_s if outcome else 0.0
         return 503, estimated_s or NO_REPLICA_RETRY_AFTER_S
     if reason is RefusalReason.STOPPING:
         return 503, 0.0
     if reason is RefusalReason.REJECTED_BY_REPLICAS:
-        return 503, REJECTED_RETRY_AFTER_S
+        return 503, estimated_s or REJECTED_RETRY_AFTER_S
     if reason is RefusalReason.EXPIRED_UNSENT:
         return 503, REJECTED_RETRY_AFTER_S
     if reason is RefusalReason.EXPIRED:
--- a/libs/entry/src/zinnia_entry/metrics.py
+++ b/libs/entry/src/zinnia_entry/metrics.py
@@ -3,7 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from zinnia_entry.reasons import Phase, RefusalReason, RequestOutcome, SubqueryOutcome
-from zinnia_sending.answers import AnswerFault, ExchangeResult
+from zinnia_sending.answers import AnswerFault, ExchangeResult, ReplicaNotice
 from zinnia_sending.attempts import SendReason
 from zinnia_sending.counters import SendCounters
 from zinnia_sending.runs import RunTiming
@@ -35,6 +35,9 @@
         self._faults = self._make_counter(
             "zinnia_bad_answers", "Answers of replicas rejected because of their bytes", ["fault"]
         )
+        self._notices = self._make_counter(
+            "zinnia_replica_notices", "Answers in which replicas speak about themselves", ["notice"]
+        )
         self.missing_shards = self._make_counter("zinnia_missing_shards", "Shards left out", [])
         self.log_lines_dropped = self._make_counter(
             "zinnia_log_lines_dropped", "Log lines dropped", ["event"]
@@ -53,6 +56,8 @@
             self._refusals.labels(reason.value)
         for fault in AnswerFault:
             self._faults.labels(fault.value)
+        for notice in ReplicaNotice:
+            self._notices.labels(notice.value)
         # Keep the labelled metrics: looking one up costs as much as incrementing it.
         self._send_counters = {reason: self._sends.labels(reason.value) for reason in SendReason}
         self._exchange_histograms = {
@@ -80,6 +85,10 @@
         """Count an answer that was rejected because of its bytes."""
         self._faults.labels(fault.value).inc()
 
+    def count_notice(self, notice: ReplicaNotice) -> None:
+        """Count an answer in which a replica says that it leaves or wants no requests."""
+        self._notices.labels(notice.value).inc()
+
     def count_request(self, route: str, outcome: RequestOutcome, duration_s: float) -> None:
         """Record the outcome and the duration in seconds of a caller's request."""
         self._requests.labels(route, outcome.value).observe(duration_s)
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -139,7 +139,13 @@
         limit_shares = LimitShares(settings.vm, self.count_vms, runners)
         versions = VersionShares(events, make_process_id(settings.vm), settings.exposure_bounds)
         self._fleet = Fleet(
-            settings.data_centre, self.count_vms, events, self._random, limit_shares, versions
+            settings.data_centre,
+            self.count_vms,
+            events,
+            self._random,
+            limit_shares,
+            versions,
+            metrics,
         )
         self.catalog = Catalog(adapter.decoder, self._fleet, trio.current_time)
         retry_shares = RetryShares(settings.vm, self.count_vms, runners)
--- a/libs/sending/src/zinnia_sending/answers.py
+++ b/libs/sending/src/zinnia_sending/answers.py
@@ -15,6 +15,13 @@
     MEMORY_FULL = "memory_full"
 
 
+class ReplicaNotice(Enum):
+    """What a replica says about itself beside its answer."""
+
+    LEAVING = "leaving"
+    TURNED_AWAY = "turned_away"
+
+
 class ExchangeResult(Enum):
     """How one exchange with a replica ended."""
 
@@ -57,7 +64,8 @@
 
     ``warmup_s`` is how long the replica remains cold in seconds, and ``rate_limit_per_s`` the
     number of requests a second that it takes from all VMs; None if there is no such header. With
-    ``is_leaving`` the replica says that it leaves.
+    ``is_leaving`` the replica says that it leaves. ``turn_away_s`` is the time in seconds for which
+    it wants no requests of this VM, as it names it; not a number if that can't be read.
     """
 
     request_id: bytes
@@ -68,6 +76,7 @@
     warmup_s: float | None = None
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
+    turn_away_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/sending/src/zinnia_sending/availability.py
+++ b/libs/sending/src/zinnia_sending/availability.py
@@ -1,10 +1,19 @@
 """Why a replica gets no request from this VM now, and from when on it may get one."""
 
 from enum import Enum
+from math import inf
+from random import Random
 
 from zinnia_sending.health import Condition, ReplicaHealth
 from zinnia_sending.rates import RateLimit, TokenBucket
 
+# A VM does not obey a replica that turns it away for longer than this.
+MAX_TURN_AWAY_S = 60.0
+# A VM returns to the replica later by up to this fraction of the time, so that VMs that were told
+# the same time do not return in one moment.
+RETURN_SPREAD_FRACTION = 0.25
+MAX_RETURN_SPREAD_S = 2.0
+
 
 class Obstacle(Enum):
     """Reason why a replica cannot get a request now."""
@@ -14,6 +23,7 @@
     TRIED = "tried"
     DATA_CENTRE_OUT = "data_centre_out"
     VERSION_SHARE = "version_share"
+    TURNED_AWAY = "turned_away"
     WARMING_UP = "warming_up"
     RATE_LIMITED = "rate_limited"
     SUSPENDED = "suspended"
@@ -45,6 +55,20 @@
         self._health = health
         self._warm_at = warm_at
         self._warmup_limiter: TokenBucket | None = None
+        self._turned_away_until = -inf
+        self._needs_trial = False
+
+    def turn_away(self, duration_s: float, now: float, random: Random) -> None:
+        """Send nothing for ``duration_s`` seconds and a little longer, and then one request."""
+        spread_s = min(MAX_RETURN_SPREAD_S, RETURN_SPREAD_FRACTION * duration_s) * random.random()
+        until = now + min(MAX_TURN_AWAY_S, duration_s) + spread_s
+        self._turned_away_until = max(self._turned_away_until, until)
+        self._needs_trial = True
+
+    def record_taken(self, now: float) -> None:
+        """Record that the replica took a request, which ends a trial but not a time it named."""
+        if now >= self._turned_away_until:
+            self._needs_trial = False
 
     def is_cold(self, now: float) -> bool:
         """Whether the replica is still warming up."""
@@ -60,8 +84,18 @@
             return Obstacle.DRAINING
         return Obstacle.GONE if self.is_gone else None
 
+    def find_refusal(self, now: float) -> Obstacle | None:
+        """Return why not even a request that was chosen for the replica is to be sent, or None."""
+        if now < self._turned_away_until:
+            return self.find_lasting_obstacle() or Obstacle.TURNED_AWAY
+        return self.find_lasting_obstacle()
+
     def find_obstacle(self, now: float, warmup_rate_per_s: float) -> Obstacle | None:
         """Return the obstacle for a request of this VM now, None without one."""
+        if now < self._turned_away_until:
+            return Obstacle.TURNED_AWAY
+        if self._needs_trial and self._health.outstanding:
+            return Obstacle.TRIAL_RUNNING
         if self._is_warmup_spent(now, warmup_rate_per_s):
             return Obstacle.WARMING_UP
         if self.rate_limit is not None and not self.rate_limit.allows_send(now):
@@ -77,11 +111,14 @@
         """Return the time from which a request may be sent again, None if nothing tells."""
         if self.find_lasting_obstacle() is not None:
             return None
+        times = []
+        if now < self._turned_away_until:
+            times.append(self._turned_away_until)
         if self._health.get_condition(now) is Condition.SUSPENDED:
-            return self._health.get_trial_time()
+            times.append(self._health.get_trial_time())
         if self.rate_limit is not None:
-            return self.rate_limit.find_next_time(now)
-        return None
+            times.append(self.rate_limit.find_next_time(now))
+        return max(times, default=None)
 
     def count_send(self, now: float, warmup_rate_per_s: float) -> None:
         """Count a request that is about to be sent."""
--- a/libs/sending/src/zinnia_sending/counters.py
+++ b/libs/sending/src/zinnia_sending/counters.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from zinnia_sending.answers import AnswerFault, ExchangeResult
+from zinnia_sending.answers import AnswerFault, ExchangeResult, ReplicaNotice
 from zinnia_sending.attempts import SendReason
 
 
@@ -20,3 +20,23 @@
     @abstractmethod
     def count_fault(self, fault: AnswerFault) -> None:
         """Count an answer that was rejected because of its bytes."""
+
+    @abstractmethod
+    def count_notice(self, notice: ReplicaNotice) -> None:
+        """Count an answer in which a replica says that it leaves or wants no requests."""
+
+
+class NullCounters(SendCounters):
+    """Counts nothing."""
+
+    def count_send(self, reason: SendReason) -> None:
+        """Ignore the attempt."""
+
+    def count_result(self, result: ExchangeResult, duration_s: float) -> None:
+        """Ignore the result."""
+
+    def count_fault(self, fault: AnswerFault) -> None:
+        """Ignore the answer."""
+
+    def count_notice(self, notice: ReplicaNotice) -> None:
+        """Ignore the answer."""
--- a/libs/sending/src/zinnia_sending/dispatcher.py
+++ b/libs/sending/src/zinnia_sending/dispatcher.py
@@ -139,8 +139,8 @@
 
     def _record_failure(self, attempt: Attempt, cause: str, now: float) -> None:
         replica = attempt.replica
-        if replica.availability.find_lasting_obstacle() is not None:
-            return
+        if replica.availability.find_refusal(now) is not None:
+            return  # It gets nothing anyway; what fails now says nothing about its version.
         self._record_version(attempt, cause, 1.0)
         if replica.health.record_failure(now):
             self._events.note(
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -12,8 +12,9 @@
 from zinnia_catalog.releases import ReleaseOrder
 from zinnia_catalog.replicas import ReplicaEntry
 from zinnia_catalog.routes import Configuration, ServiceLimits
-from zinnia_sending.answers import AnswerFacts
-from zinnia_sending.availability import Obstacle
+from zinnia_sending.answers import AnswerFacts, ReplicaNotice
+from zinnia_sending.availability import MAX_TURN_AWAY_S, Obstacle
+from zinnia_sending.counters import NullCounters, SendCounters
 from zinnia_sending.events import EventSink
 from zinnia_sending.health import Condition
 from zinnia_sending.rates import EqualRateShares, RateLimit, RateShares
@@ -59,6 +60,8 @@
         This VM's shares of the limits that replicas name; equal shares if it is left out.
     versions : VersionShares, optional
         The version moves; none are known at first if it is left out.
+    counters : SendCounters, optional
+        Counts what replicas say about themselves.
     """
 
     def __init__(
@@ -69,8 +72,10 @@
         random: Random,
         rate_shares: RateShares | None = None,
         versions: VersionShares | None = None,
+        counters: SendCounters | None = None,
     ) -> None:
         self.versions = versions or VersionShares(events)
+        self._counters = counters or NullCounters()
         self._rate_shares = rate_shares or EqualRateShares(count_vms)
         self._data_centre = data_centre
         self._count_vms = count_vms
@@ -283,12 +288,32 @@
             )
 
     def record_facts(self, replica: Replica, facts: AnswerFacts) -> None:
-        """Send nothing more to a replica that says that it leaves."""
+        """Send nothing to a replica that says that it leaves, or that it wants no requests."""
+        now = trio.current_time()
         if facts.is_leaving:
-            now = trio.current_time()
+            self._counters.count_notice(ReplicaNotice.LEAVING)
             entry = replica.entry
             if self._departures.add(entry.id, entry.started_ms, now):
                 self._start_departure(replica, False)
+        if facts.turn_away_s is not None:
+            self._counters.count_notice(ReplicaNotice.TURNED_AWAY)
+            self._turn_away(replica, facts.turn_away_s, now)
+        elif not facts.is_not_run:
+            replica.availability.record_taken(now)
+
+    def _turn_away(self, replica: Replica, named_s: float, now: float) -> None:
+        """Send nothing to a replica for the time that it names, within bounds."""
+        # Not a number compares as false, so it counts as no time.
+        duration_s = min(named_s, MAX_TURN_AWAY_S) if named_s > 0 else 0.0
+        if duration_s > 0:
+            replica.availability.turn_away(duration_s, now, self._random)
+        self._events.note(
+            "replica_turned_away",
+            replica=replica.id,
+            service=replica.entry.service,
+            named_s=str(named_s),
+            obeyed_s=round(duration_s, 3),
+        )
 
     def list_departures(self, now: float) -> list[Departure]:
         """Return the replicas that have said not long ago that they leave."""
--- a/libs/sending/src/zinnia_sending/replica.py
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -127,7 +127,7 @@
 
     def _find_new_obstacle(self) -> str:
         """Return why the replica gets no request anymore since it was chosen, or nothing."""
-        obstacle = self.availability.find_lasting_obstacle()
+        obstacle = self.availability.find_refusal(trio.current_time())
         return "" if obstacle is None else f"the replica is {obstacle.value}"
 
     def _classify_answer(self, raw: RawAnswer, facts: AnswerFacts, started_at: float) -> Exchange:
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -342,7 +342,8 @@
         )
         failure = self._shards[0].failure if not self._request.is_fanout else None
         verdict = self._find_verdict(missing, may_have_run)
-        retry_after_s = self._find_retry_time() if verdict is RunVerdict.NO_REPLICA else 0.0
+        is_refused = verdict in (RunVerdict.NO_REPLICA, RunVerdict.REJECTED)
+        retry_after_s = self._find_retry_time() if is_refused else 0.0
         late_s = now - self._seal_at
         is_sealed_by_time = verdict is RunVerdict.PARTIAL and 0 <= late_s < MAX_SEAL_LAG_S
         return RunOutcome(
@@ -369,11 +370,12 @@
         return RunVerdict.REJECTED if was_sent else RunVerdict.NO_REPLICA
 
     def _find_retry_time(self) -> float:
-        """Return the seconds until every shard with suspended or limited replicas may try one."""
+        """Return the seconds until enough shards may have a replica, 0 if nothing tells."""
         now = trio.current_time()
-        latest = 0.0
+        times = []
         for shard in self._shards:
             next_at = self._fleet.find_next_time(shard.service, now)
-            if next_at is not None:
-                latest = max(latest, next_at - now)
-        return latest
+            times.append(0.0 if next_at is None else next_at - now)
+        times.sort()
+        enough = next(count for count in range(1, len(times) + 1) if self._can_answer_with(count))
+        return times[enough - 1]
--- a/libs/sending/tests/test_dispatcher.py
+++ b/libs/sending/tests/test_dispatcher.py
@@ -5,24 +5,13 @@
 
 from zinnia_sending.answers import Exchange, ExchangeResult
 from zinnia_sending.attempts import Attempt, RunRequest, SendReason, ShardProgress
-from zinnia_sending.counters import SendCounters
+from zinnia_sending.counters import NullCounters
 from zinnia_sending.dispatcher import ABANDONED_ATTEMPT_TIMEOUT_S, Dispatcher
 from zinnia_sending.events import NullSink
 from zinnia_sending.health import Condition
 from zinnia_sending.latency import LatencyHistogram
 
 
-class Counters(SendCounters):
-    def count_send(self, reason):
-        pass
-
-    def count_result(self, result, duration_s):
-        pass
-
-    def count_fault(self, fault):
-        pass
-
-
 class HangingReplicaTest(unittest.TestCase):
     def run_attempts(self, count, act, error=None):
         """Send to a replica that never answers, or raises ``error``; return it and the results.
@@ -42,7 +31,7 @@
             replica.exchange = hang
             results = []
             async with trio.open_nursery() as nursery:
-                dispatcher = Dispatcher(nursery, fleet, None, Counters(), NullSink())
+                dispatcher = Dispatcher(nursery, fleet, None, NullCounters(), NullSink())
                 for _ in range(count):
                     now = trio.current_time()
                     route = make_route(["s"], fanout=False)
--- a/libs/sending/tests/test_replica.py
+++ b/libs/sending/tests/test_replica.py
@@ -97,12 +97,10 @@
 
 
 class ReplicaExchangeTest(unittest.TestCase):
-    def exchange(
-        self, answers, count=1, idempotent=True, pause_s=0.0, listener=None, before_send=None
-    ):
+    def exchange(self, answers, count=1, idempotent=True, pause_s=0.0, listener=None, prepare=None):
         """Return the scripted replica and the results of ``count`` exchanges.
 
-        ``before_send`` is called with the replica while a connection is opened.
+        ``prepare`` is called with the replica before the first of them.
         """
         scripted = ScriptedReplica(answers)
         results = []
@@ -113,8 +111,8 @@
                 port = listeners[0].socket.getsockname()[1]
                 nursery.start_soon(trio.serve_listeners, scripted.serve, listeners)
                 replica = Replica(make_entry("r", port=port), 4, trio.current_time(), listener)
-                if before_send is not None:
-                    nursery.start_soon(before_send, replica)
+                if prepare is not None:
+                    prepare(replica)
                 for _ in range(count):
                     with trio.move_on_after(LIMIT_S):
                         end_at = trio.current_time() + LIMIT_S
@@ -155,10 +153,17 @@
     def test_request_that_waits_for_a_connection_is_not_sent_once_the_replica_leaves(self):
         """Load pattern: many requests open connections as the first answer arrives."""
 
-        async def leave(replica):
-            replica.start_draining(trio.current_time())
+        def leave_while_connecting(replica):
+            open_connection = replica.pool.open
 
-        scripted, results = self.exchange([make_answer()], before_send=leave)
+            async def open_and_leave():
+                connection = await open_connection()
+                replica.start_draining(trio.current_time())
+                return connection
+
+            replica.pool.open = open_and_leave
+
+        scripted, results = self.exchange([make_answer()], prepare=leave_while_connecting)
         self.assertIs(ExchangeResult.NOT_SENT, results[0].result)
         self.assertEqual(0, scripted.requests)
 
