--- a/programs/measure/src/zinnia_measure/entry_cost.py
+++ b/programs/measure/src/zinnia_measure/entry_cost.py
@@ -22,10 +22,10 @@
     ServiceLimits,
 )
 from zinnia_measure import constant_server
-from zinnia_sending.answers import AnswerFacts, AnswerFault, ExchangeResult
-from zinnia_sending.attempts import RunRequest, SendReason
+from zinnia_sending.answers import AnswerFacts
+from zinnia_sending.attempts import RunRequest
 from zinnia_sending.budgets import RetryBounds, RetryBudget
-from zinnia_sending.counters import SendCounters
+from zinnia_sending.counters import NullCounters
 from zinnia_sending.dispatcher import Dispatcher
 from zinnia_sending.events import NullSink
 from zinnia_sending.fleet import Fleet
@@ -77,19 +77,6 @@
         return PlainRequest()
 
 
-class NullCounters(SendCounters):
-    """Counts nothing."""
-
-    def count_send(self, reason: SendReason) -> None:
-        """Ignore a send."""
-
-    def count_result(self, result: ExchangeResult, duration_s: float) -> None:
-        """Ignore a result."""
-
-    def count_fault(self, fault: AnswerFault) -> None:
-        """Ignore a rejected answer."""
-
-
 @dataclass(frozen=True, slots=True)
 class EntryCost:
     """Processor time per sub-request in µs, and time of a whole request in ms; medians."""
