Use a replica that drains no longer before the next configuration

Callers: a replica whose entry goes back from draining to ready, as an operator takes the drain back or as the hold after a restored store ends, got no requests from any VM until the next change of the configuration.

Cause: the start of a drain sets the connection limit of the pool to 0, and its end cleared the state only, so the obstacle became connections_busy.

Change: the end of a drain sets the limit again.

Evidence: test_fleet.test_replica_that_drains_no_longer_gets_requests_again fails before ('a' is never chosen) and passes now.

--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -109,8 +109,8 @@
                 self._events.note("replica_draining", replica=entry.id, service=entry.service)
                 known.start_draining(now)
             known.entry = entry
-            if not entry.is_draining and not self._departures.has(entry):
-                known.availability.is_draining = False
+            if known.availability.is_draining and not self._must_drain(entry):
+                known.stop_draining(self._compute_connection_limit(entry.service))
             if entry.warmup_remaining_s > 0:
                 known.availability.mark_cold(entry.warmup_remaining_s, now)
             return
@@ -394,6 +394,10 @@
         share = USED_WARMUP_RATE_FRACTION / max(1, self._count_vms())
         return limits.warmup_rate_per_s * share
 
+    def _must_drain(self, entry: ReplicaEntry) -> bool:
+        """Return whether a replica has registered itself as draining, or said that it leaves."""
+        return entry.is_draining or self._departures.has(entry)
+
     def _discard_replica(self, replica: Replica) -> None:
         replica.availability.is_gone = True
         replica.pool.close()
--- a/libs/sending/src/zinnia_sending/replica.py
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -69,6 +69,11 @@
         self.pool.limit = 0
         self.pool.discard_idle(now)
 
+    def stop_draining(self, connection_limit: int) -> None:
+        """Send requests to the replica again, over up to ``connection_limit`` connections."""
+        self.availability.is_draining = False
+        self.pool.limit = connection_limit
+
     def record_facts(self, facts: AnswerFacts) -> None:
         """Record the facts in the head of an answer, as soon as it is read."""
         if facts.is_wrong_replica:
--- a/libs/sending/tests/test_fleet.py
+++ b/libs/sending/tests/test_fleet.py
@@ -98,6 +98,17 @@
         self.call_in_trio(lambda: fleet.update_replica(make_entry("a", is_draining=True)))
         self.assertEqual({"b"}, set(self.count_choices(fleet)))
 
+    def test_replica_that_drains_no_longer_gets_requests_again(self):
+        """Load pattern: an operator takes back a drain, or the store goes back to before it.
+
+        Guards against a replica that may have no connections until the next configuration.
+        """
+        fleet = self.call_in_trio(lambda: make_fleet(make_entry("a")))
+        self.call_in_trio(lambda: fleet.update_replica(make_entry("a", is_draining=True)))
+        self.assertEqual([], self.count_choices(fleet))
+        self.call_in_trio(lambda: fleet.update_replica(make_entry("a")))
+        self.assertEqual({"a"}, set(self.count_choices(fleet)))
+
     def test_excluded_data_centre_gets_no_requests(self):
         """Load pattern: a data centre is evacuated, and all of its replicas with it."""
         entries = (make_entry("a"), make_entry("b", data_centre="dc2"))
