Move what replicas say about themselves out of the fleet into a module

NoticeRecorder holds the departures and the times for which replicas turn requests away; the fleet asks it whether a replica has left. No behaviour changes; the tests of sending, entry, relay and delegation pass as before.

--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -83,11 +83,11 @@
 
     def list_departures(self) -> list[Departure]:
         """Return the replicas that are known to leave."""
-        return self._fleet.list_departures(trio.current_time())
+        return self._fleet.notices.list_departures(trio.current_time())
 
     def apply_departures(self, departures: Iterable[Departure]) -> None:
         """Apply departures that other VMs know."""
-        self._fleet.apply_departures(departures, trio.current_time())
+        self._fleet.notices.apply_departures(departures, trio.current_time())
 
     def list_evidence(self) -> list[Evidence]:
         """Return the evidence of this process, and what has changed of that of others."""
--- a/libs/entry/tests/release_fleet.py
+++ b/libs/entry/tests/release_fleet.py
@@ -11,7 +11,9 @@
 from zinnia_entry.node import FleetFindings
 from zinnia_entry.releases import ReleaseDriver
 from zinnia_relay.exchange import FindingsExchange
+from zinnia_sending.counters import NullCounters
 from zinnia_sending.events import NullSink
+from zinnia_sending.notices import NoticeRecorder
 from zinnia_sending.versions import VersionShares
 
 SERVICE, OLD, NEW = "s", "v1", "v2"
@@ -44,6 +46,7 @@
 
     def __init__(self, process, store, rank, random):
         self.versions = VersionShares(NullSink(), process, random=random)
+        self.notices = NoticeRecorder({}.get, NullSink(), NullCounters(), random)
         self.order = None
         self.driver = ReleaseDriver(
             self.versions, store, lambda: rank, NullSink(), trio.current_time
@@ -56,12 +59,6 @@
     def apply_observations(self, observations, now):
         pass
 
-    def list_departures(self, now):
-        return []
-
-    def apply_departures(self, departures, now):
-        pass
-
     def follow(self, order):
         if order is not self.order:
             self.order = order
--- a/libs/entry/tests/test_turned_away.py
+++ b/libs/entry/tests/test_turned_away.py
@@ -70,7 +70,7 @@
         self.arrivals.append((vm, replica.id, now - self.started_at))
         await trio.sleep(LATENCY_S)
         is_taken = now - self.started_at >= TURNED_AWAY_UNTIL_S
-        fleet.record_facts(replica, TAKEN if is_taken else REFUSED)
+        fleet.notices.record_facts(replica, TAKEN if is_taken else REFUSED)
         replica.health.record_end(key)
         if is_taken:
             self.served.append(now - self.started_at)
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -6,19 +6,18 @@
 import trio
 
 from zinnia_catalog.catalog import CatalogListener
-from zinnia_catalog.departures import Departure, DepartureTable
 from zinnia_catalog.ids import DataCentreId, ReplicaId, ServiceName, VersionId
 from zinnia_catalog.observations import Observation
 from zinnia_catalog.releases import ReleaseOrder
 from zinnia_catalog.replicas import ReplicaEntry
 from zinnia_catalog.routes import Configuration, ServiceLimits
-from zinnia_sending.answers import AnswerFacts, ReplicaNotice
-from zinnia_sending.availability import MAX_TURN_AWAY_S, Obstacle
+from zinnia_sending.availability import Obstacle
 from zinnia_sending.counters import NullCounters, SendCounters
 from zinnia_sending.events import EventSink
 from zinnia_sending.health import Condition
+from zinnia_sending.notices import NoticeRecorder
 from zinnia_sending.rates import EqualRateShares, RateLimit, RateShares
-from zinnia_sending.replica import Replica, ReplicaListener
+from zinnia_sending.replica import Replica
 from zinnia_sending.versions import VersionShares
 
 # Fraction of the connection limit of a replica that the known VMs use together; the rest is for
@@ -43,7 +42,7 @@
 MIN_ACCEPTANCE_RATE = 0.05
 
 
-class Fleet(CatalogListener, ReplicaListener):
+class Fleet(CatalogListener):
     """Keeps the known replicas by service and selects one for each request.
 
     Parameters
@@ -75,7 +74,6 @@
         counters: SendCounters | None = None,
     ) -> None:
         self.versions = versions or VersionShares(events)
-        self._counters = counters or NullCounters()
         self._rate_shares = rate_shares or EqualRateShares(count_vms)
         self._data_centre = data_centre
         self._count_vms = count_vms
@@ -85,7 +83,7 @@
         self._services: dict[ServiceName, list[Replica]] = {}
         self._limits: dict[ServiceName, ServiceLimits] = {}
         self._excluded_data_centres: set[DataCentreId] = set()
-        self._departures = DepartureTable()
+        self.notices = NoticeRecorder(self.get_replica, events, counters or NullCounters(), random)
 
     def adopt_configuration(self, configuration: Configuration) -> None:
         """Apply the limits of all services and adjust the connection limits of their replicas."""
@@ -116,8 +114,9 @@
             return
         if known is not None:
             self._discard_replica(known)
-        replica = Replica(entry, self._compute_connection_limit(entry.service), now, self)
-        if self._departures.has(entry):
+        limit = self._compute_connection_limit(entry.service)
+        replica = Replica(entry, limit, now, self.notices)
+        if self.notices.has_left(entry):
             replica.start_draining(now)
         self._replicas[entry.id] = replica
         self._services.setdefault(entry.service, []).append(replica)
@@ -287,55 +286,6 @@
                 limit_per_s=limit_per_s,
             )
 
-    def record_facts(self, replica: Replica, facts: AnswerFacts) -> None:
-        """Send nothing to a replica that says that it leaves, or that it wants no requests."""
-        now = trio.current_time()
-        if facts.is_leaving:
-            self._counters.count_notice(ReplicaNotice.LEAVING)
-            entry = replica.entry
-            if self._departures.add(entry.id, entry.started_ms, now):
-                self._start_departure(replica, False)
-        if facts.turn_away_s is not None:
-            self._counters.count_notice(ReplicaNotice.TURNED_AWAY)
-            self._turn_away(replica, facts.turn_away_s, now)
-        elif not facts.is_not_run:
-            replica.availability.record_taken(now)
-
-    def _turn_away(self, replica: Replica, named_s: float, now: float) -> None:
-        """Send nothing to a replica for the time that it names, within bounds."""
-        # Not a number compares as false, so it counts as no time.
-        duration_s = min(named_s, MAX_TURN_AWAY_S) if named_s > 0 else 0.0
-        if duration_s > 0:
-            replica.availability.turn_away(duration_s, now, self._random)
-        self._events.note(
-            "replica_turned_away",
-            replica=replica.id,
-            service=replica.entry.service,
-            named_s=str(named_s),
-            obeyed_s=round(duration_s, 3),
-        )
-
-    def list_departures(self, now: float) -> list[Departure]:
-        """Return the replicas that have said not long ago that they leave."""
-        return self._departures.list_recent(now)
-
-    def apply_departures(self, departures: Iterable[Departure], now: float) -> None:
-        """Apply departures that other VMs know."""
-        for departure in self._departures.merge(departures, now):
-            replica = self._replicas.get(departure.replica)
-            if replica is not None and self._departures.has(replica.entry):
-                self._start_departure(replica, True)
-
-    def _start_departure(self, replica: Replica, was_told: bool) -> None:
-        """Drain a replica that says that it leaves, to this VM or as another VM ``was_told`` of."""
-        replica.start_draining(trio.current_time())
-        self._events.note(
-            "replica_leaving",
-            replica=replica.id,
-            service=replica.entry.service,
-            by_peer=was_told,
-        )
-
     def list_observations(self, now: float) -> list[Observation]:
         """Return the replicas that this VM itself has observed to be slow or failing."""
         found = []
@@ -396,7 +346,7 @@
 
     def _must_drain(self, entry: ReplicaEntry) -> bool:
         """Return whether a replica has registered itself as draining, or said that it leaves."""
-        return entry.is_draining or self._departures.has(entry)
+        return entry.is_draining or self.notices.has_left(entry)
 
     def _discard_replica(self, replica: Replica) -> None:
         replica.availability.is_gone = True
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -123,7 +123,7 @@
         The records of the answers are already merged, so the first shard gets all of them and the
         others get empty answers.
         """
-        self._fleet.apply_departures(result.departures, trio.current_time())
+        self._fleet.notices.apply_departures(result.departures, trio.current_time())
         if self._is_sealed:
             return
         records = result.records
--- a/libs/sending/src/zinnia_sending/subqueries.py
+++ b/libs/sending/src/zinnia_sending/subqueries.py
@@ -174,5 +174,5 @@
         failures = tuple(
             ShardFailure(shard.service, shard.sends) for shard in shards if shard.answer is None
         )
-        departures = tuple(self._fleet.list_departures(trio.current_time()))
+        departures = tuple(self._fleet.notices.list_departures(trio.current_time()))
         return PartialResult(signatures, records, failures, departures)
--- a/libs/sending/tests/test_availability.py
+++ b/libs/sending/tests/test_availability.py
@@ -83,7 +83,7 @@
             fleet = make_fleet(make_entry("a"))
             for value in named_s:
                 facts = AnswerFacts(b"", b"", True, False, False, turn_away_s=value)
-                fleet.record_facts(fleet.get_replica("a"), facts)
+                fleet.notices.record_facts(fleet.get_replica("a"), facts)
             now = trio.current_time()
             next_at = fleet.find_next_time("s", now)
             obstacle = fleet.find_obstacles("s", (), now).get("a")
--- a/libs/sending/tests/test_fleet.py
+++ b/libs/sending/tests/test_fleet.py
@@ -190,7 +190,7 @@
         """Return a fleet whose replica ``a`` has said that it leaves, and another replica."""
         fleet = make_fleet(make_entry("a"), make_entry("b", data_centre="dc2"), *entries)
         facts = AnswerFacts(b"", b"", False, False, False, is_leaving=True)
-        fleet.record_facts(fleet.get_replica("a"), facts)
+        fleet.notices.record_facts(fleet.get_replica("a"), facts)
         return fleet
 
     def test_replica_that_says_that_it_leaves_gets_nothing_more(self):
@@ -211,7 +211,7 @@
 
         def choose(started_ms):
             fleet = make_fleet(make_entry("a", started_ms=started_ms))
-            fleet.apply_departures([Departure("a", 1, 2.0)], trio.current_time())
+            fleet.notices.apply_departures([Departure("a", 1, 2.0)], trio.current_time())
             return fleet.choose("s", (), trio.current_time())
 
         self.assertIsNone(self.call_in_trio(lambda: choose(1)))
@@ -222,7 +222,7 @@
 
         def choose():
             fleet = make_fleet()
-            fleet.apply_departures([Departure("a", 1, 2.0)], trio.current_time())
+            fleet.notices.apply_departures([Departure("a", 1, 2.0)], trio.current_time())
             fleet.update_replica(make_entry("a"))
             return fleet.choose("s", (), trio.current_time())
 
