Remove a way to spend the retry budget that only tests used

ShardRun asks allows_send and calls spend; try_spend did both, for tests only. They now do what runs do.

--- a/libs/sending/src/zinnia_sending/budgets.py
+++ b/libs/sending/src/zinnia_sending/budgets.py
@@ -82,22 +82,15 @@
         """Count one request for a service."""
         self._advance(service, now).count_request()
 
-    def try_spend(self, service: ServiceName, now: float, reserve: float = 0.0) -> bool:
-        """Count an extra send and return True if the budget allows it, otherwise return False.
-
-        ``reserve`` is the fraction (0 to 1) of the budget that must remain after the send.
-        """
-        if not self.allows_send(service, now, reserve):
-            return False
-        self.spend(service, now)
-        return True
-
     def spend(self, service: ServiceName, now: float) -> None:
         """Count an extra send that the budget allows."""
         self._advance(service, now).extra_sends.append(now)
 
     def allows_send(self, service: ServiceName, now: float, reserve: float = 0.0) -> bool:
-        """Return whether the budget allows an extra send; parameters as for ``try_spend``."""
+        """Return whether the budget allows an extra send.
+
+        ``reserve`` is the fraction (0 to 1) of the budget that must remain after the send.
+        """
         window = self._advance(service, now)
         slack = self.bounds.slack * self._get_share(service)
         allowed = USED_BOUND_FRACTION * (slack + self.bounds.ratio * window.requests)
--- a/libs/sending/tests/test_budgets.py
+++ b/libs/sending/tests/test_budgets.py
@@ -12,6 +12,14 @@
 VMS = 6
 
 
+def try_spend(budget, service, now, reserve=0.0):
+    """Send if the budget allows it, as runs do; return whether it did."""
+    is_allowed = budget.allows_send(service, now, reserve)
+    if is_allowed:
+        budget.spend(service, now)
+    return is_allowed
+
+
 class RetryBudgetTest(unittest.TestCase):
     @given(
         st.lists(st.tuples(st.booleans(), st.floats(0.0, 2.0)), max_size=300),
@@ -30,7 +38,7 @@
             if is_request:
                 budget.count_request("s", now)
                 requests.append(now)
-            elif budget.try_spend("s", now):
+            elif try_spend(budget, "s", now):
                 extra.append(now)
         for end in extra:
             within = [
@@ -49,32 +57,32 @@
         for number in range(100):
             now = number / 0.3
             budget.count_request("s", now)
-            hedges += number % 10 == 0 and budget.try_spend("s", now, reserve=0.15)
+            hedges += number % 10 == 0 and try_spend(budget, "s", now, reserve=0.15)
         self.assertEqual(10, hedges)
-        self.assertTrue(budget.try_spend("s", now + 1.0))
-        self.assertTrue(budget.try_spend("s", now + 3.0))
+        self.assertTrue(try_spend(budget, "s", now + 1.0))
+        self.assertTrue(try_spend(budget, "s", now + 3.0))
 
     def test_share_below_one_send_is_not_rounded_up(self):
         """Guards against one extra send by each VM of a tier that has more VMs than slack."""
         budget = RetryBudget(RetryBounds(RATIO, SLACK, WINDOW_S), lambda service: 1 / 100)
-        self.assertFalse(budget.try_spend("s", 0.0))
+        self.assertFalse(try_spend(budget, "s", 0.0))
         for number in range(4):
             budget.count_request("s", number * 0.1)
-        self.assertTrue(budget.try_spend("s", 0.5))
+        self.assertTrue(try_spend(budget, "s", 0.5))
 
     def test_hedges_leave_a_reserve_for_retries(self):
         """Guards against hedges that use up the budget for retries after failures."""
         budget = RetryBudget(RetryBounds(RATIO, SLACK, WINDOW_S), lambda service: 1 / VMS)
-        while budget.try_spend("s", 0.0, reserve=0.25):
+        while try_spend(budget, "s", 0.0, reserve=0.25):
             pass
-        self.assertTrue(budget.try_spend("s", 0.0))
+        self.assertTrue(try_spend(budget, "s", 0.0))
 
     def test_each_service_has_its_own_budget(self):
         """Guards against one slow shard that uses up the hedges of all others."""
         budget = RetryBudget(RetryBounds(RATIO, SLACK, WINDOW_S), lambda service: 1 / VMS)
-        while budget.try_spend("a", 0.0):
+        while try_spend(budget, "a", 0.0):
             pass
-        self.assertTrue(budget.try_spend("b", 0.0))
+        self.assertTrue(try_spend(budget, "b", 0.0))
 
 
 class TokenBucketTest(unittest.TestCase):
