Send a new version its share though the old one looks better

Callers: a version that fails every second request took over its service ('succeeded') although six VMs had sent 176 requests meanwhile; none of them had gone to it.

Cause: the share of a new version was an upper limit only. Where it had credit its replicas were allowed, and competed by their expected latency. A replica without answers counts as typical (1.0), so as soon as the old ones answer faster than is typical, here as the first requests of a busy machine had been slow, none is ever sent to the new version. Without an answer its end is 'done'. Evidence: release_changed of all VMs: sent 29 to 30, sent_new 0, good 0, bad 0; release_written done with 0 and 0.

Change: a version that is due for its share gets the request if one of its replicas can take it. The limits stay as they were.

Test: test_fleet.test_new_version_gets_its_share_though_the_old_one_looks_ better (0 of 200 sends before, at least 10 now; no clock, no network).

--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -246,7 +246,7 @@
     ) -> Replica | None:
         """Return the usable replica with the lowest score (expected latency), None without one.
 
-        Replicas in ``tried`` are left out.
+        Replicas in ``tried`` are left out. A version that is due for its share comes first.
         """
         excluded_version = self.versions.find_excluded_version(service)
         usable = [
@@ -258,7 +258,9 @@
             return None
         if len(usable) == 1:
             return usable[0]
-        return min(usable, key=lambda replica: self._score(replica, now))
+        due_version = self.versions.find_due_version(service)
+        due = [replica for replica in usable if replica.entry.version == due_version]
+        return min(due or usable, key=lambda replica: self._score(replica, now))
 
     def record_send(self, replica: Replica, key: int, typical_latency_s: float, now: float) -> None:
         """Record a request that is about to be sent, with the typical latency of its route."""
--- a/libs/sending/src/zinnia_sending/versions.py
+++ b/libs/sending/src/zinnia_sending/versions.py
@@ -77,6 +77,11 @@
             return TRIAL_SHARE
         return USED_SHARE_FRACTION * self.bounds.share
 
+    @property
+    def has_credit(self) -> bool:
+        """Whether the next request may go to the new version."""
+        return self.share > 0 and self.credit + self.share >= 1.0
+
     def change_order(self, order: ReleaseOrder) -> None:
         """Apply another state of the order; a move that has ended does not open again."""
         if order.is_open and not self.is_open:
@@ -171,8 +176,18 @@
         move = self._moves.get(service)
         if move is None or move.share >= 1.0:
             return None
-        has_credit = move.share > 0 and move.credit + move.share >= 1.0
-        return None if has_credit else move.order.target
+        return None if move.has_credit else move.order.target
+
+    def find_due_version(self, service: ServiceName) -> VersionId | None:
+        """Return the version that should get the next request of a service, None if any may.
+
+        A new version that got requests only where its replicas look best would be done without an
+        answer of it if the others are fast.
+        """
+        move = self._moves.get(service)
+        if move is None or not move.is_open or not move.has_credit:
+            return None
+        return move.order.target
 
     def count_send(self, service: ServiceName, version: VersionId) -> None:
         """Count a request that is about to be sent to a version."""
--- a/libs/sending/tests/test_fleet.py
+++ b/libs/sending/tests/test_fleet.py
@@ -171,6 +171,41 @@
         self.assertLessEqual(counts["new"], most + 1)
         self.assertGreater(counts["new"], 0)
 
+    def count_sends_in_a_release(self, old_slowness, prepare=lambda fleet: None):
+        """Return the sends to an old and a new version, of 200 of which none fails."""
+
+        async def main():
+            entries = (make_entry("old", version="v1"), make_entry("new", version="v2"))
+            fleet = make_fleet(*entries)
+            fleet.change_release("s", ReleaseOrder("s", "v2", 30.0, ReleaseState.RUNNING, 1))
+            prepare(fleet)
+            counts = {"old": 0, "new": 0}
+            for _ in range(200):
+                fleet.get_replica("old").health.record_answer(old_slowness, 0.0)
+                replica = fleet.choose("s", (), trio.current_time())
+                fleet.record_send(replica, 0, 0.02, trio.current_time())
+                replica.health.record_end(0)
+                counts[replica.id] += 1
+            return counts
+
+        return run_trio(main)
+
+    def test_new_version_gets_its_share_though_the_old_one_looks_better(self):
+        """Load pattern: replicas of the old version answer faster than is typical.
+
+        Guards against a version that is done without an answer of it.
+        """
+        counts = self.count_sends_in_a_release(old_slowness=0.3)
+        self.assertGreaterEqual(counts["new"], 0.05 * 200)
+
+    def test_new_version_that_can_get_no_request_takes_none_from_the_old_one(self):
+        """Load pattern: replicas of the new version are drained before the move ends."""
+
+        def drain(fleet):
+            fleet.update_replica(make_entry("new", version="v2", is_draining=True))
+
+        self.assertEqual({"old": 200, "new": 0}, self.count_sends_in_a_release(1.0, drain))
+
     def test_connection_limit_is_divided_among_the_vms(self):
         """Load pattern: many VMs keep connections to replicas that allow only a few."""
         fleet = self.call_in_trio(lambda: make_fleet(make_entry("a"), vms=6))
