--- a/review/standins.py
+++ b/review/standins.py
@@ -528,11 +528,15 @@
         self.store.put("servers", replica.name, replica.make_entry())
         return replica
 
-    async def add_vms(self, names: list[str], zone: str) -> None:
-        """Start entry processes in a zone and wait until all are ready and know each other."""
+    def make_vms(self, names: list[str], zone: str) -> None:
+        """Write the settings of entry processes in a zone."""
         for name in names:
             seeds = f"{HOST}:{self.vms[0].peers}" if self.vms else ""
             self.vms.append(Vm(Path(self._temporary.name), name, zone, self.store, seeds))
+
+    async def add_vms(self, names: list[str], zone: str) -> None:
+        """Start entry processes in a zone and wait until all are ready."""
+        self.make_vms(names, zone)
         for vm in self.vms:
             await vm.start()
         for vm in self.vms:
