--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -21,10 +22,13 @@
 COMMAND = ("target/app/start.py", "--metrics-port")
 OBJECTS_PATH = "/-/objects/"
 PAGE_SIZE = 500
+PORTS = range(15000, 30000)
 # Time limit of one script.
 SCRIPT_TIMEOUT_S = 116.0
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
+_given_ports: set[int] = set()
+
 
 class CaseError(Exception):
     """The case could not run."""
@@ -36,15 +40,15 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return free ports that were all open at the same time, so that they differ."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((HOST, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return free ports below the range that outgoing connections use, each only once."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.choice(PORTS)
+        with socket.socket() as sock:
+            if port not in _given_ports and sock.connect_ex((HOST, port)) != 0:
+                _given_ports.add(port)
+                found.append(port)
+    return found
 
 
 class Record:
@@ -131,8 +135,8 @@
 
     async def start(self) -> None:
         """Listen; a server that starts again keeps its port."""
+        self.port = self.port or find_free_ports(1)[0]
         self._server = await asyncio.start_server(self._serve, HOST, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
 
     async def crash(self) -> None:
         """Stop listening and reset all connections, as a process that is gone."""
