Follow other VMs or the store while the watchers stand still

Cause: the kernel of a frozen VM accepts connections. An attempt to follow it that lasted longer than 0.5 s counted as useful, so the search for a source never ended; and each such VM was given 2 s for its first answer.

Change: only fresh data makes an attempt useful; an answer has to begin within 0.4 s and may take 2 s from there; silent VMs are left out for 3 s; the search ends in time; the first deputies turn to the store before the other followers; a poll ends when the data becomes too old; watchers exchange findings at once instead of one after the other.

--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -6,12 +6,19 @@
 
 import trio
 
-from zinnia_catalog.members import Member, find_all_watchers, find_watchers
+from zinnia_catalog.members import Member, find_all_watchers
 from zinnia_catalog.objects import HistoryLostError, ObjectKind, ObjectStore, StoreError
 from zinnia_entry.feeds import StoreFeed
 from zinnia_entry.metrics import Metrics
+from zinnia_entry.peersearch import PEER_SEARCH_INTERVAL_S, Candidate, PeerSearch, parse_address
 from zinnia_entry.settings import Address, EntrySettings
-from zinnia_relay.client import CONNECT_TIMEOUT_S, PeerConnection, PeerLostError
+from zinnia_relay.client import (
+    ANSWER_MARGIN_S,
+    CONNECT_TIMEOUT_S,
+    PeerConnection,
+    PeerLostError,
+    PeerSilentError,
+)
 from zinnia_relay.store_cache import StoreCache
 from zinnia_sending.events import EventSink
 
@@ -32,9 +39,6 @@
 POLL_TIMEOUT_S = 0.5
 # A VM that has lost its watchers watches the store itself for this time.
 DIRECT_WATCH_S = 4.0
-# How long a VM looks for a watcher or deputy with fresh data before it calls the store itself.
-PEER_SEARCH_TIMEOUT_S = 0.6
-PEER_SEARCH_INTERVAL_S = 0.2
 # Average delay after a failed store call, unless the error asks for a longer one. The delay is
 # randomized, because other VMs call the store again at the same time.
 STORE_RETRY_DELAY_S = 1.5
@@ -86,6 +90,7 @@
         self._metrics = metrics
         self._events = events
         self._random = random
+        self._search = PeerSearch(self._own, get_members, random)
         self._watch_scope: trio.CancelScope | None = None
         self._direct_until = 0.0
         self._watch_start_at = 0.0
@@ -125,20 +130,25 @@
 
     async def _follow_peers(self) -> None:
         """Follow watchers or deputies until none has had fresh data for a while."""
-        if trio.current_time() < self._direct_until or not self._list_followable_vms():
+        if trio.current_time() < self._direct_until or not self._has_peers_to_follow():
             return
-        search_until = trio.current_time() + PEER_SEARCH_TIMEOUT_S
-        while True:
-            if await self._follow_each(self._list_followable_vms()):
-                search_until = trio.current_time() + PEER_SEARCH_TIMEOUT_S
-            if trio.current_time() >= search_until:
-                self._direct_until = trio.current_time() + DIRECT_WATCH_S
-                return
+        search_until = trio.current_time() + self._search.timeout_s
+        while trio.current_time() < search_until:
+            candidates = self._search.list_candidates()
+            if not candidates:
+                break
+            for candidate in candidates:
+                if await self._follow_peer(candidate, search_until):
+                    search_until = trio.current_time() + self._search.timeout_s
             await trio.sleep(PEER_SEARCH_INTERVAL_S)
+        self._direct_until = trio.current_time() + DIRECT_WATCH_S
+
+    def _has_peers_to_follow(self) -> bool:
+        return self._store_cache.is_complete and self._search.has_peers
 
     async def _can_watch_store(self) -> bool:
         """Whether to watch the store; a VM with peers to follow checks that the store answers."""
-        if not self._list_followable_vms():
+        if not self._has_peers_to_follow():
             return True
         kind = ObjectKind.CONFIGURATION
         try:
@@ -157,43 +167,48 @@
         self._metrics.count_store_call(kind.value, "served")
         return True
 
-    def _list_followable_vms(self) -> list[tuple[str, Address]]:
-        """Return names and addresses of the VMs to follow: watchers, then deputies, each shuffled.
+    async def _follow_peer(self, candidate: Candidate, search_until: float) -> bool:
+        """Follow a VM until it fails; return whether it had fresh data.
 
-        The list is empty if this VM is to watch the store itself.
+        The VM has to provide the first data by ``search_until``, a monotonic time in seconds.
         """
-        if not self._store_cache.is_complete:
-            return []
-        candidates, count = find_watchers(self._get_members(), self._own)
-        watchers, deputies = candidates[:count], candidates[count:]
-        self._random.shuffle(watchers)
-        self._random.shuffle(deputies)
-        return [(item.vm, parse_address(item.peer_address)) for item in [*watchers, *deputies]]
-
-    async def _follow_each(self, candidates: list[tuple[str, Address]]) -> bool:
-        """Follow each VM in turn until it fails; return whether one provided data for a while."""
         was_useful = False
-        for name, address in candidates:
-            started_at = trio.current_time()
-            try:
-                await self._follow_peer(name, address)
-            except PeerLostError as error:
-                self._metrics.count_peer_call("failed")
-                if trio.current_time() - started_at > POLL_TIMEOUT_S:
-                    was_useful = True
-                    self._events.note("watcher_lost", peer=name, cause=str(error))
+        try:
+            async with self._connect(
+                candidate.address, _limit(CONNECT_TIMEOUT_S, search_until)
+            ) as peer:
+                await self._poll_candidate(
+                    peer, candidate, 0.0, _limit(ANSWER_MARGIN_S, search_until)
+                )
+                was_useful = True
+                while True:
+                    # The reply comes as soon as the data would be too old, not some time later.
+                    left_s = max(0.0, self._store_cache.find_time_left(MAX_DATA_AGE_S))
+                    wait_s = min(POLL_TIMEOUT_S, left_s)
+                    await self._poll_candidate(peer, candidate, wait_s, ANSWER_MARGIN_S)
+        except PeerLostError as error:
+            self._metrics.count_peer_call("failed")
+            if isinstance(error, PeerSilentError):
+                self._search.record_silence(candidate)
+            if was_useful:
+                self._events.note("watcher_lost", peer=candidate.vm, cause=str(error))
         return was_useful
 
-    async def _follow_peer(self, name: str, address: Address) -> None:
-        async with self._connect(address) as peer:
-            wait_s = 0.0
-            while True:
-                await peer.poll(wait_s)
-                wait_s = POLL_TIMEOUT_S
-                self._metrics.count_peer_call("served")
-                if not self._store_cache.is_fresh(MAX_DATA_AGE_S):
-                    raise PeerLostError("the peer's copy of the store is too old")
-                self._set_source(name)
+    async def _poll_candidate(
+        self, peer: PeerConnection, candidate: Candidate, wait_s: float, margin_s: float
+    ) -> None:
+        """Poll a VM once.
+
+        Raises
+        ------
+        PeerLostError
+            The VM did not answer, or its data is too old.
+        """
+        await peer.poll(wait_s, margin_s)
+        self._metrics.count_peer_call("served")
+        if not self._store_cache.is_fresh(MAX_DATA_AGE_S):
+            raise PeerLostError("the peer's copy of the store is too old")
+        self._set_source(candidate.vm)
 
     def _set_source(self, name: str) -> None:
         """Record the current source; stop this VM's own watches if the source is a peer."""
@@ -233,9 +248,11 @@
             await trio.sleep(OBSERVATIONS_INTERVAL_S)
             if self._watch_scope is None:
                 continue
-            for member in self._list_watchers():
-                if member.vm != self._own.vm:
-                    await self._poll_once(parse_address(member.peer_address), START_POLL_TIMEOUT_S)
+            async with trio.open_nursery() as nursery:
+                for member in self._list_watchers():
+                    if member.vm != self._own.vm:
+                        address = parse_address(member.peer_address)
+                        nursery.start_soon(self._poll_once, address, START_POLL_TIMEOUT_S)
 
     def _list_watchers(self) -> list[Member]:
         members = self._get_members()
@@ -276,10 +293,9 @@
         return sorted(addresses, key=str)
 
 
-def parse_address(text: str) -> Address:
-    """Parse an address of the form ``host:port``."""
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
+def _limit(timeout_s: float, until: float) -> float:
+    """Return a timeout that ends at ``until`` at the latest, a monotonic time in seconds."""
+    return max(0.0, min(timeout_s, until - trio.current_time()))
 
 
 def make_member(settings: EntrySettings) -> Member:
--- a/libs/entry/tests/test_sources.py
+++ b/libs/entry/tests/test_sources.py
@@ -8,12 +8,8 @@
 from zinnia_catalog.members import SHARED_WATCHER_COUNT, Member, rank_names
 from zinnia_catalog.objects import Listing, StoredObject, StoreError
 from zinnia_entry.metrics import Metrics
-from zinnia_entry.sources import (
-    CURRENT_DATA_TIMEOUT_S,
-    FOLLOWED_KINDS,
-    SourceController,
-    parse_address,
-)
+from zinnia_entry.peersearch import parse_address
+from zinnia_entry.sources import CURRENT_DATA_TIMEOUT_S, FOLLOWED_KINDS, SourceController
 from zinnia_relay.client import PeerLostError
 from zinnia_relay.store_cache import StoreCache
 
@@ -40,7 +36,7 @@
     async def __aexit__(self, *_):
         pass
 
-    async def poll(self, wait_s):
+    async def poll(self, wait_s, margin_s=0.0):
         await trio.sleep(wait_s)
         for kind in FOLLOWED_KINDS:
             self._store_cache.confirm(kind, (), self._age_s)
--- a/libs/relay/src/zinnia_relay/frames.py
+++ b/libs/relay/src/zinnia_relay/frames.py
@@ -25,6 +25,17 @@
         pieces = [LENGTH_PREFIX.pack(len(payload)) + payload for payload in payloads]
         await self._stream.send_all(b"".join(pieces))
 
+    async def wait_for_data(self) -> None:
+        """Wait until the first bytes of the next frame have arrived.
+
+        Raises
+        ------
+        FrameError
+            The peer closed the connection.
+        """
+        if not self._buffer:
+            await self._receive_some()
+
     async def receive(self) -> bytes:
         """Return the payload of the next frame.
 
@@ -45,10 +56,13 @@
 
     async def _receive_exactly(self, size: int) -> bytes:
         while len(self._buffer) < size:
-            data = await self._stream.receive_some(RECEIVE_BYTES)
-            if not data:
-                raise FrameError("the peer closed the connection")
-            self._buffer += data
+            await self._receive_some()
         payload = bytes(self._buffer[:size])
         del self._buffer[:size]
         return payload
+
+    async def _receive_some(self) -> None:
+        data = await self._stream.receive_some(RECEIVE_BYTES)
+        if not data:
+            raise FrameError("the peer closed the connection")
+        self._buffer += data
--- a/libs/relay/src/zinnia_relay/store_cache.py
+++ b/libs/relay/src/zinnia_relay/store_cache.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from math import inf
 
 import trio
 
@@ -118,8 +119,12 @@
 
     def is_fresh(self, limits: dict[ObjectKind, float]) -> bool:
         """Whether every kind was confirmed within its limit in seconds."""
+        return self.find_time_left(limits) >= 0
+
+    def find_time_left(self, limits: dict[ObjectKind, float]) -> float:
+        """Return the seconds until a kind was confirmed longer ago than its limit."""
         ages = {kind: self.get_age(kind) for kind in limits}
-        return all(age is not None and age <= limits[kind] for kind, age in ages.items())
+        return min(-inf if age is None else limits[kind] - age for kind, age in ages.items())
 
     def make_request(self, vm: str, wait_s: float) -> FollowRequest:
         """Return a request for the changes that this VM lacks, with its findings."""
--- a/libs/relay/tests/test_relay.py
+++ b/libs/relay/tests/test_relay.py
@@ -4,8 +4,9 @@
 import trio.testing
 
 from zinnia_catalog.objects import Listing, ObjectKind, StoredObject
-from zinnia_relay.client import ANSWER_MARGIN_S, PeerConnection, PeerLostError
-from zinnia_relay.frames import FrameStream
+from zinnia_relay.client import ANSWER_MARGIN_S, PeerConnection, PeerSilentError
+from zinnia_relay.frames import LENGTH_PREFIX, FrameStream
+from zinnia_relay.messages import FollowReply, encode
 from zinnia_relay.server import RelayServer
 from zinnia_relay.store_cache import StoreCache
 
@@ -170,14 +171,39 @@
         """
 
         async def test(leader, follower, peer):
-            peer._answers = 1
             started = trio.current_time()
-            with self.assertRaises(PeerLostError):
+            with self.assertRaises(PeerSilentError):
                 await peer.poll(1.0)
             self.assertAlmostEqual(1.0 + ANSWER_MARGIN_S, trio.current_time() - started, places=3)
 
         self.run_pair(test, answers=False)
 
+    def test_answer_that_has_begun_may_take_longer(self):
+        """Load pattern: a listing of all objects arrives over a link with low bandwidth.
+
+        Guards against a follower that breaks off each of these answers and asks again.
+        """
+
+        async def answer_slowly(far):
+            await FrameStream(far).receive()
+            payload = encode(FollowReply("leader"))
+            await far.send_all(LENGTH_PREFIX.pack(len(payload)))
+            for byte in payload:
+                await trio.sleep(2 * ANSWER_MARGIN_S / len(payload))
+                await far.send_all(bytes([byte]))
+
+        async def main():
+            near, far = trio.testing.memory_stream_pair()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(answer_slowly, far)
+                peer = PeerConnection("follower", "127.0.0.1", 1, RecordingPeer().store_cache)
+                peer._frames = FrameStream(near)
+                started = trio.current_time()
+                await peer.poll(0.0)
+                self.assertGreater(trio.current_time() - started, ANSWER_MARGIN_S)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_malformed_message_ends_the_connection(self):
         """Guards against a VM that fails because a foreign client connects to its peer port."""
 
