Send a request that crashes replicas to one replica, and then refuse it

Cause: nothing in the entry process remembered a request; each break was taken for a fault of the replica, which a retry at another one mends.

Change: VMs remember, and tell each other, which replicas ended the connection before any byte of an answer, by a hash of method, path, caller and body. After three such crashes without an answer from any replica, the request is sent to one replica without retries and hedges; after crashes on three occasions, of every version of the service, it is refused with 503 for a time. One answer clears it. In the first fan-out, retries after the third crash wait for any answer, at both VMs of a split fan-out. The state is bounded.

--- a/libs/delegation/src/zinnia_delegation/links.py
+++ b/libs/delegation/src/zinnia_delegation/links.py
@@ -232,9 +232,10 @@
     services = delegation.assignment.services
     signatures = zip(reply.shards, reply.signatures, strict=True)
     failures = zip(reply.failed, reply.failed_sends, strict=True)
+    crashed = set(reply.crashed)
     return PartialResult(
         tuple((services[index], signature) for index, signature in signatures),
         reply.records,
-        tuple(ShardFailure(services[index], sends) for index, sends in failures),
+        tuple(ShardFailure(services[index], sends, index in crashed) for index, sends in failures),
         tuple(decode_departures(reply.departures)),
     )
--- a/libs/delegation/src/zinnia_delegation/messages.py
+++ b/libs/delegation/src/zinnia_delegation/messages.py
@@ -124,8 +124,9 @@
 class Reply(TBase):
     """One frame to the VM that delegates. ``kind`` is the value of a ``ReplyKind``.
 
-    ``shards`` and ``failed`` are indexes into the ``services`` of the start. After a refusal, no
-    delegations are to be sent for ``hold_ms``. ``departures`` lists replicas that leave.
+    ``shards`` and ``failed`` are indexes into the ``services`` of the start; ``crashed`` are those
+    of ``failed`` where a replica crashed. After a refusal, no delegations are to be sent for
+    ``hold_ms``. ``departures`` lists replicas that leave.
     """
 
     thrift_spec = (
@@ -140,6 +141,7 @@
         (8, TType.BOOL, "is_last", None, None),
         (9, TType.I32, "hold_ms", None, None),
         (10, TType.LIST, "departures", DEPARTURE_LIST, None),
+        (11, TType.LIST, "crashed", (TType.I32, None, False), None),
     )
 
     def __init__(
@@ -154,6 +156,7 @@
         is_last: bool = False,
         hold_ms: int = 0,
         departures: list[DepartureRecord] | None = None,
+        crashed: list[int] | None = None,
     ) -> None:
         self.id = id
         self.kind = kind
@@ -165,3 +168,4 @@
         self.is_last = is_last
         self.hold_ms = hold_ms
         self.departures = departures or []
+        self.crashed = crashed or []
--- a/libs/delegation/src/zinnia_delegation/server.py
+++ b/libs/delegation/src/zinnia_delegation/server.py
@@ -187,6 +187,7 @@
             [failure.sends for failure in result.failures],
             is_last,
             departures=encode_departures(result.departures),
+            crashed=[indexes[item.service] for item in result.failures if item.has_crashed],
         )
         self._outbox.put(encode(reply))
 
--- a/libs/delegation/tests/fakes.py
+++ b/libs/delegation/tests/fakes.py
@@ -36,6 +36,7 @@
 
     request_id = b"id"
     is_head = False
+    fingerprint = "fingerprint"
 
     def render(self, replica, remaining_s):
         """Return no bytes."""
@@ -89,6 +90,7 @@
 class ScriptedSender(AttemptSender):
     """Ends attempts as ``script`` says: a list of (delay in seconds, result) for each replica.
 
+    With a third item that is true, the replica crashes: the attempt ends without an answer.
     ``ran`` collects, for all VMs, the replicas that may have run the request, by shard.
     """
 
@@ -99,17 +101,18 @@
 
     def start(self, attempt):
         """Start the script of the attempt's replica."""
-        delay_s, result = self._script[attempt.replica.id]
+        delay_s, result, *is_crash = self._script[attempt.replica.id]
         if result.may_have_run:
             self._ran.setdefault(attempt.shard.service, []).append(attempt.replica.id)
-        self._nursery.start_soon(self._end, attempt, delay_s, result)
+        self._nursery.start_soon(self._end, attempt, delay_s, result, any(is_crash))
 
-    async def _end(self, attempt, delay_s, result):
+    async def _end(self, attempt, delay_s, result, is_crash):
         await trio.sleep(delay_s)
         answer = None
         if result is ExchangeResult.ANSWERED:
             answer = ReplicaAnswer(200, (), b"r" * 16, attempt.replica.id.encode())
-        attempt.finish(Exchange(result, delay_s, answer, result.value))
+        exchange = Exchange(result, delay_s, answer, result.value, is_unanswered=is_crash)
+        attempt.finish(exchange)
 
     def cancel(self, attempt):
         """Let the attempt end by itself: a replica may go on after its connection has closed."""
--- a/libs/delegation/tests/test_attempts.py
+++ b/libs/delegation/tests/test_attempts.py
@@ -6,11 +6,14 @@
 from hypothesis import strategies as st
 
 from zinnia_sending.answers import ExchangeResult
-from zinnia_sending.runs import RunVerdict
+from zinnia_sending.outcomes import RunVerdict
 
 ANSWERED = ExchangeResult.ANSWERED
 FAILED = ExchangeResult.FAILED
 NEVER_S = 60.0
+# Retries of one fan-out until it is found that no replica answers: two at once, and one more from
+# each of both VMs.
+MAX_CRASH_RETRIES = 4
 
 EXCHANGES = st.tuples(
     st.sampled_from((0.002, 0.01, 0.025, 0.04, 0.08, 0.3, NEVER_S)),
@@ -69,6 +72,20 @@
 
         self.check_attempts(make_script(*[(0.002, FAILED)] * 4), act, delay_s=0.02)
 
+    def test_request_that_crashes_replicas_is_not_retried_at_all_shards(self):
+        """Load pattern: each replica that runs the request ends without an answer.
+
+        Guards against a fan-out that takes all replicas of all shards, as the VM that delegates
+        does not know of the crashes that another VM has seen.
+        """
+
+        async def act(wire):
+            await trio.lowlevel.checkpoint()
+
+        crash = (0.002, ExchangeResult.BROKEN, True)
+        _, ran = run_shared_fanout(make_script(*[crash] * 4), act, 3)
+        self.assertLessEqual(sum(map(len, ran.values())), len(SHARDS) + MAX_CRASH_RETRIES, ran)
+
     def test_shards_of_a_lost_vm_are_sent_from_here(self):
         """Load pattern: a VM is killed while it runs the shards of other VMs.
 
--- a/libs/entry/src/zinnia_entry/handler.py
+++ b/libs/entry/src/zinnia_entry/handler.py
@@ -17,7 +17,8 @@
 from zinnia_sending.delegation import Delegator
 from zinnia_sending.fleet import Fleet
 from zinnia_sending.merge import merge_records
-from zinnia_sending.runs import RequestRun, RunOutcome, RunVerdict
+from zinnia_sending.outcomes import RunOutcome, RunVerdict
+from zinnia_sending.runs import RequestRun
 
 # Retry-After without a configuration; the first one usually arrives within this time.
 CONFIGURATION_RETRY_AFTER_S = 0.5
@@ -235,6 +236,8 @@
         return RefusalReason.NO_REPLICA
     if outcome.verdict is RunVerdict.REJECTED:
         return RefusalReason.REJECTED_BY_REPLICAS
+    if outcome.verdict is RunVerdict.CRASHES_REPLICAS:
+        return RefusalReason.CRASHES_REPLICAS
     if outcome.verdict is RunVerdict.EXPIRED:
         return RefusalReason.EXPIRED if outcome.may_have_run else RefusalReason.EXPIRED_UNSENT
     return RefusalReason.SHARDS_MISSING if is_fanout else RefusalReason.REPLICA_FAILED
@@ -251,6 +254,8 @@
     estimated_s = outcome.retry_after_s if outcome else 0.0
     if reason is RefusalReason.NO_REPLICA:
         return 503, estimated_s or NO_REPLICA_RETRY_AFTER_S
+    if reason is RefusalReason.CRASHES_REPLICAS:
+        return 503, estimated_s
     if reason is RefusalReason.STOPPING:
         return 503, 0.0
     if reason is RefusalReason.REJECTED_BY_REPLICAS:
--- a/libs/entry/src/zinnia_entry/metrics.py
+++ b/libs/entry/src/zinnia_entry/metrics.py
@@ -6,7 +6,7 @@
 from zinnia_sending.answers import AnswerFault, ExchangeResult, ReplicaNotice
 from zinnia_sending.attempts import SendReason
 from zinnia_sending.counters import SendCounters
-from zinnia_sending.runs import RunTiming
+from zinnia_sending.outcomes import RunTiming
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 1.2, 2.5, 5.0)
 
@@ -38,6 +38,9 @@
         self._notices = self._make_counter(
             "zinnia_replica_notices", "Answers in which replicas speak about themselves", ["notice"]
         )
+        self._crashes = self._make_counter(
+            "zinnia_crashes", "Crashes of replicas by requests that have crashed others", []
+        )
         self.missing_shards = self._make_counter("zinnia_missing_shards", "Shards left out", [])
         self.log_lines_dropped = self._make_counter(
             "zinnia_log_lines_dropped", "Log lines dropped", ["event"]
@@ -85,6 +88,10 @@
         """Count an answer that was rejected because of its bytes."""
         self._faults.labels(fault.value).inc()
 
+    def count_crash(self) -> None:
+        """Count a crash of a replica by a request that has crashed others before."""
+        self._crashes.inc()
+
     def count_notice(self, notice: ReplicaNotice) -> None:
         """Count an answer in which a replica says that it leaves or wants no requests."""
         self._notices.labels(notice.value).inc()
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -11,6 +11,7 @@
 
 from zinnia_catalog.catalog import Catalog, ObjectDecoder
 from zinnia_catalog.collections import Collection
+from zinnia_catalog.crashes import CrashFindings
 from zinnia_catalog.departures import Departure
 from zinnia_catalog.evidence import Evidence
 from zinnia_catalog.ids import ProcessId, VmName
@@ -89,6 +90,14 @@
         """Apply departures that other VMs know."""
         self._fleet.notices.apply_departures(departures, trio.current_time())
 
+    def list_crashes(self) -> CrashFindings:
+        """Return the crashes of replicas that are known, by request."""
+        return self._fleet.crashes.list_findings()
+
+    def apply_crashes(self, findings: CrashFindings) -> None:
+        """Apply crashes that other VMs know."""
+        self._fleet.crashes.apply_findings(findings)
+
     def list_evidence(self) -> list[Evidence]:
         """Return the evidence of this process, and what has changed of that of others."""
         return self._fleet.versions.list_evidence(trio.current_time())
--- a/libs/entry/src/zinnia_entry/reasons.py
+++ b/libs/entry/src/zinnia_entry/reasons.py
@@ -16,6 +16,7 @@
     EXPIRED_UNSENT = "expired_unsent"
     BAD_DEADLINE = "bad_deadline"
     STOPPING = "stopping"
+    CRASHES_REPLICAS = "crashes_replicas"
 
 
 class Phase(Enum):
--- a/libs/entry/tests/release_fleet.py
+++ b/libs/entry/tests/release_fleet.py
@@ -12,6 +12,7 @@
 from zinnia_entry.releases import ReleaseDriver
 from zinnia_relay.exchange import FindingsExchange
 from zinnia_sending.counters import NullCounters
+from zinnia_sending.crashguard import CrashGuard
 from zinnia_sending.events import NullSink
 from zinnia_sending.notices import NoticeRecorder
 from zinnia_sending.versions import VersionShares
@@ -47,6 +48,7 @@
     def __init__(self, process, store, rank, random):
         self.versions = VersionShares(NullSink(), process, random=random)
         self.notices = NoticeRecorder({}.get, NullSink(), NullCounters(), random)
+        self.crashes = CrashGuard(NullSink(), NullCounters(), lambda service: set())
         self.order = None
         self.driver = ReleaseDriver(
             self.versions, store, lambda: rank, NullSink(), trio.current_time
--- a/libs/entry/tests/test_metrics.py
+++ b/libs/entry/tests/test_metrics.py
@@ -2,7 +2,7 @@
 
 from zinnia_entry.metrics import Metrics
 from zinnia_entry.reasons import Phase
-from zinnia_sending.runs import RunTiming
+from zinnia_sending.outcomes import RunTiming
 
 
 class PhaseMetricsTest(unittest.TestCase):
--- a/libs/entry/tests/test_refusals.py
+++ b/libs/entry/tests/test_refusals.py
@@ -3,7 +3,7 @@
 
 from zinnia_entry.handler import choose_refusal_status, find_reason
 from zinnia_sending.answers import ReplicaAnswer
-from zinnia_sending.runs import RunOutcome, RunVerdict
+from zinnia_sending.outcomes import RunOutcome, RunVerdict
 
 # Statuses that tell the caller that its request has not run and will not run.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
--- a/libs/relay/src/zinnia_relay/exchange.py
+++ b/libs/relay/src/zinnia_relay/exchange.py
@@ -7,10 +7,20 @@
 from thrift.protocol.TBase import TBase
 from thrift.Thrift import TType
 
+from zinnia_catalog.crashes import CrashFindings
 from zinnia_catalog.departures import Departure
 from zinnia_catalog.evidence import AnswerCounts, Evidence
 from zinnia_catalog.ids import ProcessId, ReplicaId, ServiceName, VersionId
 from zinnia_catalog.observations import Observation, ObservationTable
+from zinnia_relay.crashrecords import (
+    ANSWERED_LIST,
+    CRASH_LIST,
+    AnsweredRecord,
+    CrashRecord,
+    decode_crash_findings,
+    encode_answered,
+    encode_crashes,
+)
 
 
 class ObservedReplica(TBase):
@@ -110,6 +120,8 @@
             None,
         ),
         (3, TType.LIST, "departures", DEPARTURE_LIST, None),
+        (4, TType.LIST, "crashes", CRASH_LIST, None),
+        (5, TType.LIST, "answered", ANSWERED_LIST, None),
     )
 
     def __init__(
@@ -117,10 +129,14 @@
         observed: list[ObservedReplica] | None = None,
         evidence: list[EvidenceRecord] | None = None,
         departures: list[DepartureRecord] | None = None,
+        crashes: list[CrashRecord] | None = None,
+        answered: list[AnsweredRecord] | None = None,
     ) -> None:
         self.observed = observed or []
         self.evidence = evidence or []
         self.departures = departures or []
+        self.crashes = crashes or []
+        self.answered = answered or []
 
 
 class FindingsSource(ABC):
@@ -142,6 +158,14 @@
     def apply_departures(self, departures: Iterable[Departure]) -> None:
         """Apply departures that other VMs know."""
 
+    @abstractmethod
+    def list_crashes(self) -> CrashFindings:
+        """Return the crashes of replicas that are known, by request."""
+
+    @abstractmethod
+    def apply_crashes(self, findings: CrashFindings) -> None:
+        """Apply crashes that other VMs know."""
+
     @abstractmethod
     def list_evidence(self) -> list[Evidence]:
         """Return the evidence of this process, and what has changed of that of others."""
@@ -187,13 +211,17 @@
         added = self._observations.merge(decode_observations(findings.observed))
         self._source.apply_observations(added)
         self._source.apply_departures(decode_departures(findings.departures))
+        self._source.apply_crashes(decode_crash_findings(findings.crashes, findings.answered))
         self._source.merge_evidence(decode_evidence(findings.evidence))
 
     def _make_findings(self, evidence: list[Evidence]) -> Findings:
+        crashes = self._source.list_crashes()
         return Findings(
             self._list_observed(),
             encode_evidence(evidence),
             encode_departures(self._source.list_departures()),
+            encode_crashes(crashes),
+            encode_answered(crashes),
         )
 
     def _list_observed(self) -> list[ObservedReplica]:
--- a/libs/sending/src/zinnia_sending/answers.py
+++ b/libs/sending/src/zinnia_sending/answers.py
@@ -84,7 +84,8 @@
     """Result of one exchange with a replica.
 
     ``fault`` is set if its bytes were no valid answer. ``rate_limit_per_s`` is the limit that its
-    answer names, in requests a second from all VMs.
+    answer names, in requests a second from all VMs. With ``is_unanswered`` the replica ended the
+    connection after the request was sent, before the first byte of an answer.
     """
 
     result: ExchangeResult
@@ -93,3 +94,4 @@
     cause: str = ""
     fault: AnswerFault | None = None
     rate_limit_per_s: float | None = None
+    is_unanswered: bool = False
--- a/libs/sending/src/zinnia_sending/attempts.py
+++ b/libs/sending/src/zinnia_sending/attempts.py
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WantedSend:
-    """A hedge or retry that waits for permission; ``may_repeat`` as for ``ShardRun``."""
+    """A hedge or retry that has to wait; ``may_repeat`` as for ``ShardRun``."""
 
     reason: SendReason
     may_repeat: bool
@@ -67,6 +67,9 @@
     is set once one of them may have run. The shard is settled when it has an answer or gets no more
     attempts.
 
+    ``has_crashed`` is set once a replica has ended an attempt without an answer. While ``is_held``,
+    a retry waits until another shard has an answer; ``is_probe`` is set if it may go ahead.
+
     ``is_delegated`` is set while another VM sends requests for it; ``sends`` is then the number
     that this VM has permitted. That VM counts the permitted sends in ``permitted_sends``, and
     ``wanted`` is the send for which it has asked.
@@ -81,6 +84,9 @@
     is_settled: bool = False
     may_have_run: bool = False
     is_hedged: bool = False
+    has_crashed: bool = False
+    is_held: bool = False
+    is_probe: bool = False
     is_delegated: bool = False
     permitted_sends: int = 1
     wanted: WantedSend | None = None
--- a/libs/sending/src/zinnia_sending/connections.py
+++ b/libs/sending/src/zinnia_sending/connections.py
@@ -26,7 +26,14 @@
 
 
 class ConnectionEndedError(Exception):
-    """The connection ended before the answer was complete; the request may have run."""
+    """The connection ended before the answer was complete; the request may have run.
+
+    ``by_replica`` tells whether the replica closed or reset it, instead of being unreachable.
+    """
+
+    def __init__(self, text: str, by_replica: bool) -> None:
+        super().__init__(text)
+        self.by_replica = by_replica
 
 
 class NotConnectedError(Exception):
@@ -83,7 +90,9 @@
             await self._send(data)
             await self._receive(parser)
         except OSError as error:
-            raise ConnectionEndedError(f"connection failed: {error.strerror or error}") from error
+            by_replica = isinstance(error, ConnectionResetError | BrokenPipeError)
+            text = f"connection failed: {error.strerror or error}"
+            raise ConnectionEndedError(text, by_replica) from error
         return RawAnswer(
             parser.status,
             tuple(parser.headers),
@@ -115,7 +124,8 @@
             if parser.finish():
                 parser.keeps_alive = False
                 return
-            raise ConnectionEndedError("the replica closed the connection before its answer ended")
+            text = "the replica closed the connection before its answer ended"
+            raise ConnectionEndedError(text, True)
 
 
 class ConnectionPool:
--- a/libs/sending/src/zinnia_sending/counters.py
+++ b/libs/sending/src/zinnia_sending/counters.py
@@ -21,6 +21,10 @@
     def count_fault(self, fault: AnswerFault) -> None:
         """Count an answer that was rejected because of its bytes."""
 
+    @abstractmethod
+    def count_crash(self) -> None:
+        """Count a crash of a replica by a request that has crashed others before."""
+
     @abstractmethod
     def count_notice(self, notice: ReplicaNotice) -> None:
         """Count an answer in which a replica says that it leaves or wants no requests."""
@@ -40,3 +44,6 @@
 
     def count_notice(self, notice: ReplicaNotice) -> None:
         """Ignore the answer."""
+
+    def count_crash(self) -> None:
+        """Ignore the crash."""
--- a/libs/sending/src/zinnia_sending/delegation.py
+++ b/libs/sending/src/zinnia_sending/delegation.py
@@ -33,10 +33,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardFailure:
-    """A shard that another VM has no answer for, with the number of sends that it made."""
+    """A shard that another VM has no answer for, with the number of sends that it made.
+
+    ``has_crashed`` is as in ``ShardProgress``.
+    """
 
     service: ServiceName
     sends: int
+    has_crashed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/sending/src/zinnia_sending/dispatcher.py
+++ b/libs/sending/src/zinnia_sending/dispatcher.py
@@ -103,6 +103,7 @@
             self._record_fault(replica, exchange)
         if exchange.rate_limit_per_s is not None or exchange.result is ExchangeResult.ANSWERED:
             self._fleet.record_rate_limit(replica, exchange.rate_limit_per_s)
+        self._fleet.crashes.record_exchange(attempt, exchange)
         result = exchange.result
         if result is ExchangeResult.ANSWERED:
             latency.record(exchange.duration_s)
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -13,6 +13,7 @@
 from zinnia_catalog.routes import Configuration, ServiceLimits
 from zinnia_sending.availability import Obstacle
 from zinnia_sending.counters import NullCounters, SendCounters
+from zinnia_sending.crashguard import CrashGuard
 from zinnia_sending.events import EventSink
 from zinnia_sending.health import Condition
 from zinnia_sending.notices import NoticeRecorder
@@ -83,7 +84,9 @@
         self._services: dict[ServiceName, list[Replica]] = {}
         self._limits: dict[ServiceName, ServiceLimits] = {}
         self._excluded_data_centres: set[DataCentreId] = set()
-        self.notices = NoticeRecorder(self.get_replica, events, counters or NullCounters(), random)
+        counters = counters or NullCounters()
+        self.notices = NoticeRecorder(self.get_replica, events, counters, random)
+        self.crashes = CrashGuard(events, counters, self.list_versions)
 
     def adopt_configuration(self, configuration: Configuration) -> None:
         """Apply the limits of all services and adjust the connection limits of their replicas."""
@@ -161,6 +164,10 @@
         """Return whether any replica of a service is known."""
         return service in self._services
 
+    def list_versions(self, service: ServiceName) -> set[VersionId]:
+        """Return the versions of the known replicas of a service."""
+        return {replica.entry.version for replica in self._services.get(service, ())}
+
     def get_replica(self, replica: ReplicaId) -> Replica | None:
         """Return a replica by its id, None if it is not known."""
         return self._replicas.get(replica)
@@ -262,6 +269,17 @@
         due = [replica for replica in usable if replica.entry.version == due_version]
         return min(due or usable, key=lambda replica: self._score(replica, now))
 
+    def choose_avoiding(
+        self, service: ServiceName, versions: Collection[VersionId], now: float
+    ) -> Replica | None:
+        """Return a usable replica of another version than these, or else any usable one."""
+        avoided = [
+            replica.id
+            for replica in self._services.get(service, ())
+            if replica.entry.version in versions
+        ]
+        return self.choose(service, avoided, now) or self.choose(service, (), now)
+
     def record_send(self, replica: Replica, key: int, typical_latency_s: float, now: float) -> None:
         """Record a request that is about to be sent, with the typical latency of its route."""
         replica.availability.count_send(now, self._compute_warmup_rate(replica, now))
--- a/libs/sending/src/zinnia_sending/parser.py
+++ b/libs/sending/src/zinnia_sending/parser.py
@@ -67,6 +67,11 @@
         """The body received so far."""
         return b"".join(self._body)
 
+    @property
+    def has_received(self) -> bool:
+        """Whether any byte was received."""
+        return self._received > 0
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
--- a/libs/sending/src/zinnia_sending/protocol.py
+++ b/libs/sending/src/zinnia_sending/protocol.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
-from zinnia_catalog.ids import ReplicaId
+from zinnia_catalog.ids import Fingerprint, ReplicaId
 from zinnia_sending.answers import AnswerFacts
 
 
@@ -13,6 +13,11 @@
     request_id: bytes
     is_head: bool
 
+    @property
+    @abstractmethod
+    def fingerprint(self) -> Fingerprint:
+        """Hash of what is the same if a caller sends the request again."""
+
     @abstractmethod
     def render(self, replica: ReplicaId, remaining_s: float) -> bytes:
         """Return the request as bytes for one replica, with the remaining time in seconds."""
--- a/libs/sending/src/zinnia_sending/replica.py
+++ b/libs/sending/src/zinnia_sending/replica.py
@@ -40,7 +40,7 @@
 class Replica:
     """Sends requests to one replica.
 
-    ``availability`` says when it may get one.
+    ``availability`` says when it may get one. ``has_answered`` is set once it has answered one.
     """
 
     def __init__(
@@ -51,6 +51,7 @@
         listener: ReplicaListener | None = None,
     ) -> None:
         self.entry = entry
+        self.has_answered = False
         self._listener = listener
         self.health = ReplicaHealth(now)
         self.pool = ConnectionPool(entry.host, entry.port, connection_limit)
@@ -122,7 +123,9 @@
                 return exchange
             return replace(exchange, rate_limit_per_s=rate_limit_per_s)
         except ConnectionEndedError as error:
-            return _end_exchange(ExchangeResult.BROKEN, started_at, str(error))
+            exchange = _end_exchange(ExchangeResult.BROKEN, started_at, str(error))
+            is_unanswered = error.by_replica and not parser.has_received
+            return replace(exchange, is_unanswered=is_unanswered)
         except BadAnswerError as error:
             return _end_exchange(ExchangeResult.BROKEN, started_at, str(error), error.fault)
         finally:
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
-from enum import Enum
 
 import trio
 
@@ -21,7 +19,9 @@
     PartialResult,
 )
 from zinnia_sending.fleet import Fleet
-from zinnia_sending.shards import ShardRun, TraceStep
+from zinnia_sending.outcomes import RunOutcome, RunTiming, RunVerdict
+from zinnia_sending.replica import Replica
+from zinnia_sending.shards import ShardRun
 
 # An incomplete answer is sealed (later results are ignored) this fraction of the target latency
 # before the target, and earlier by the delay that this VM has measured between seal and reply.
@@ -38,46 +38,6 @@
 REPORT_GRACE_S = 0.012
 
 
-class RunVerdict(Enum):
-    """How a run ended."""
-
-    COMPLETE = "complete"
-    PARTIAL = "partial"
-    FAILED = "failed"
-    EXPIRED = "expired"
-    NO_REPLICA = "no_replica"
-    REJECTED = "rejected"
-
-
-@dataclass(slots=True)
-class RunTiming:
-    """Monotonic times of the first send and of the seal of a run, None if it did not happen."""
-
-    sent_at: float | None = None
-    sealed_at: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class RunOutcome:
-    """The answers of a run and how it ended.
-
-    ``answers`` holds the answers of the shards, and ``missing`` counts the shards without one.
-    ``failure`` is an error answer of a replica, passed on to the caller if there is no better one.
-    ``may_have_run`` is set if the request may have run at a replica. ``retry_after_s`` is the time
-    in seconds after which suspended replicas may be available again. ``planned_seal_at`` is the
-    planned monotonic time of the seal, None if the answer was sealed for another reason.
-    """
-
-    verdict: RunVerdict
-    answers: tuple[ReplicaAnswer, ...]
-    missing: int
-    failure: ReplicaAnswer | None
-    may_have_run: bool
-    retry_after_s: float
-    trace: tuple[TraceStep, ...]
-    planned_seal_at: float | None = None
-
-
 class RequestRun(ShardRun, DelegationListener):
     """Runs a request of a caller until it can be answered.
 
@@ -104,11 +64,13 @@
         target_s = request.target_at - request.received_at
         margin_s = max(MIN_SEAL_MARGIN_S, SEAL_MARGIN_FRACTION * target_s) + request.seal_lag_s
         self._seal_at = request.target_at - margin_s if request.is_fanout else request.end_at
+        self._refusal_s: float | None = None
+        self._is_probing = False
 
     async def run(self) -> RunOutcome:
         """Run the request and return its outcome; on cancellation, cancel all of its attempts."""
         try:
-            if self._start_shards():
+            if await self._pass_crash_check() and self._start_shards():
                 await self._wait_until_decided()
             return self._seal()
         finally:
@@ -117,6 +79,50 @@
             self._release_attempts(is_answered)
             self._release_delegations(is_answered)
 
+    async def _pass_crash_check(self) -> bool:
+        """Return whether the request may be sent; a suspect is sent to one replica first."""
+        self._refusal_s = self._fleet.crashes.find_refusal_time(self._request)
+        if self._refusal_s is not None:
+            self._note("crash_refused", retry_after_s=round(self._refusal_s, 1))
+            return False
+        if not self._fleet.crashes.is_suspect(self._request):
+            return True
+        return await self._probe()
+
+    async def _probe(self) -> bool:
+        """Send to one replica and wait for its answer; return whether to go on with all shards.
+
+        A version that the request has not crashed comes first: a version alone may be bad.
+        """
+        found = self._choose_probe()
+        if found is None:
+            return True
+        shard, replica = found
+        self._note("probed", service=shard.service, replica=replica.id)
+        now = trio.current_time()
+        self._budget.count_request(shard.service, now)
+        self.timing.sent_at = now
+        self._send(shard, replica, SendReason.FIRST, now)
+        self._is_probing = True
+        while not shard.is_settled and trio.current_time() < self._end_at:
+            await self._wait_for_decision(self._end_at)
+        self._is_probing = False
+        return shard.answer is not None
+
+    def _choose_probe(self) -> tuple[ShardProgress, Replica] | None:
+        now = trio.current_time()
+        for shard in self._shards:
+            versions = self._fleet.crashes.list_crashed_versions(self._request, shard.service)
+            replica = self._fleet.choose_avoiding(shard.service, versions, now)
+            if replica is not None:
+                return shard, replica
+        return None
+
+    def _settle_shard(self, shard: ShardProgress) -> None:
+        super()._settle_shard(shard)
+        if self._is_probing:
+            self._wake.set()
+
     def handle_result(self, delegation: Delegation, result: PartialResult) -> None:
         """Store the answers in a partial result, and run the shards that failed on this VM.
 
@@ -135,11 +141,18 @@
             records = b""
             self._answered += 1
             self._settle_shard(shard)
-        for failure in result.failures:
-            shard = delegation.shards.get(failure.service)
-            if shard is not None and not shard.is_settled:
+        if result.signatures:
+            self._release_held()
+        failures = [failure for failure in result.failures if failure.service in delegation.shards]
+        for failure in failures:
+            if failure.has_crashed:
+                self._held.count_crash(delegation.shards[failure.service])
+        for failure in failures:
+            shard = delegation.shards[failure.service]
+            if not shard.is_settled:
                 shard.sends = failure.sends
                 self._run_locally(shard)
+        self._probe_held()
 
     def handle_delegation_end(self, delegation: Delegation, end: DelegationEnd) -> None:
         """Run the unsettled shards of a failed delegation on this VM."""
@@ -159,6 +172,11 @@
         )
         for shard in open_shards:
             self._run_locally(shard)
+        self._probe_held()
+
+    def _may_get_answer(self) -> bool:
+        is_delegated = any(shard.is_delegated and not shard.is_settled for shard in self._shards)
+        return is_delegated or super()._may_get_answer()
 
     def permit_sends(
         self, delegation: Delegation, services: Sequence[ServiceName]
@@ -176,6 +194,8 @@
     def _may_permit_send(self, shard: ShardProgress) -> bool:
         if self._is_sealed or shard.is_settled or not shard.is_delegated:
             return False
+        if self._fleet.crashes.is_suspect(self._request):
+            return False
         return shard.sends < self._request.route.max_attempts
 
     def _run_locally(self, shard: ShardProgress) -> None:
@@ -188,16 +208,20 @@
             self._settle_shard(shard)
 
     def _start_shards(self) -> bool:
-        """Send or delegate all shards; send nothing and return False if too few have a replica."""
-        assignments = self._assign()
+        """Send or delegate the open shards; return False if too few have a replica.
+
+        Nothing is sent then. All shards are open, but for one that a probe has settled.
+        """
+        open_shards = [shard for shard in self._shards if not shard.is_settled]
+        assignments = self._assign(tuple(shard.service for shard in open_shards))
         delegated_services = {
             service for assignment in assignments for service in assignment.services
         }
-        delegated = [shard for shard in self._shards if shard.service in delegated_services]
+        delegated = [shard for shard in open_shards if shard.service in delegated_services]
         planned = self._choose_first_replicas(
-            shard for shard in self._shards if shard.service not in delegated_services
+            shard for shard in open_shards if shard.service not in delegated_services
         )
-        if not self._can_answer_with(len(planned) + len(delegated)):
+        if not self._can_answer_with(len(planned) + len(delegated) + self._answered):
             return False
         now = trio.current_time()
         self.timing.sent_at = now
@@ -210,12 +234,12 @@
             self._send(shard, replica, SendReason.FIRST, now)
         return True
 
-    def _assign(self) -> list[Assignment]:
+    def _assign(self, services: tuple[ServiceName, ...]) -> list[Assignment]:
         """Return the assignments to other VMs; empty if too few shards have a known replica."""
         if self._delegator is None:
             return []
-        services = self._request.services
-        if not self._can_answer_with(sum(self._fleet.has_replica(service) for service in services)):
+        known = sum(self._fleet.has_replica(service) for service in services)
+        if not self._can_answer_with(known + self._answered):
             return []
         return self._delegator.assign(services)
 
@@ -343,7 +367,7 @@
         failure = self._shards[0].failure if not self._request.is_fanout else None
         verdict = self._find_verdict(missing, may_have_run)
         is_refused = verdict in (RunVerdict.NO_REPLICA, RunVerdict.REJECTED)
-        retry_after_s = self._find_retry_time() if is_refused else 0.0
+        retry_after_s = self._find_retry_time() if is_refused else self._refusal_s or 0.0
         late_s = now - self._seal_at
         is_sealed_by_time = verdict is RunVerdict.PARTIAL and 0 <= late_s < MAX_SEAL_LAG_S
         return RunOutcome(
@@ -358,6 +382,8 @@
         )
 
     def _find_verdict(self, missing: int, may_have_run: bool) -> RunVerdict:
+        if self._refusal_s is not None:
+            return RunVerdict.CRASHES_REPLICAS
         if missing == 0:
             return RunVerdict.COMPLETE
         if self._can_answer_with(self._answered):
--- a/libs/sending/src/zinnia_sending/shards.py
+++ b/libs/sending/src/zinnia_sending/shards.py
@@ -20,6 +20,7 @@
 )
 from zinnia_sending.budgets import RetryBudget
 from zinnia_sending.fleet import Fleet
+from zinnia_sending.heldretries import HeldRetries
 from zinnia_sending.replica import Replica
 
 # Fraction of the retry budget that hedges leave for retries after failures.
@@ -77,6 +78,7 @@
         self._trace: list[TraceStep] = []
         self._pending = len(self._shards)
         self._answered = 0
+        self._held = HeldRetries()
         self._end_at = request.end_at - REQUEST_END_MARGIN_S
         self._hedge_at = inf
 
@@ -105,16 +107,19 @@
             self._record_end(attempt, exchange)
         if exchange.result.may_have_run:
             shard.may_have_run = True
+        if exchange.is_unanswered:
+            self._held.count_crash(shard)
         if self._accept_answer(shard, exchange):
             return
         if exchange.result in UNDELIVERED_RESULTS:
             shard.sends -= 1
         if not self._retry(shard, attempt, exchange.result):
             self._settle_if_idle(shard)
+        self._probe_held()
 
     def _settle_if_idle(self, shard: ShardProgress) -> None:
         """Settle a shard without an answer that gets no more attempts."""
-        if not shard.in_flight and shard.wanted is None:
+        if not shard.in_flight and shard.wanted is None and not shard.is_held:
             self._settle_shard(shard)
 
     def _accept_answer(self, shard: ShardProgress, exchange: Exchange) -> bool:
@@ -128,6 +133,7 @@
         shard.answer = answer
         self._answered += 1
         self._settle_shard(shard)
+        self._release_held()
         return True
 
     def _settle_shard(self, shard: ShardProgress) -> None:
@@ -178,6 +184,11 @@
         now = trio.current_time()
         if shard.sends >= self._request.route.max_attempts:
             return False
+        if shard.sends and self._fleet.crashes.is_suspect(self._request):
+            self._note("crash_suspect", service=shard.service, reason=reason.value)
+            return False
+        if shard.sends and self._must_hold(shard):
+            return self._hold(shard, WantedSend(reason, may_repeat))
         replica = self._choose_again(shard, reason, may_repeat, now)
         if replica is None:
             return False
@@ -193,6 +204,50 @@
         self._send(shard, replica, reason, now)
         return True
 
+    def _must_hold(self, shard: ShardProgress) -> bool:
+        """Return whether retries wait until the request has been answered by any replica."""
+        if not self._request.is_fanout or self._answered or shard.is_probe:
+            return False
+        return self._held.has_crashed_many
+
+    def _hold(self, shard: ShardProgress, wanted: WantedSend) -> bool:
+        """Keep a retry until the request has an answer; return False for a hedge, which ends."""
+        if wanted.reason is SendReason.HEDGE:
+            return False
+        self._note("held", service=shard.service, reason=wanted.reason.value)
+        self._held.add(shard, wanted)
+        return True
+
+    def _release_held(self) -> None:
+        """Send the retries that were held, as the request has an answer."""
+        for shard, wanted in self._held.take_all():
+            self._resume(shard, wanted)
+
+    def _probe_held(self) -> None:
+        """Send one of the retries that are held if nothing else can bring an answer anymore.
+
+        If that crashes a replica too, the shards whose retries are held are settled.
+        """
+        while self._held.is_waiting and not self._may_get_answer():
+            shard, wanted = self._held.take_first()
+            if self._held.has_probed:
+                self._settle_if_idle(shard)
+                continue
+            shard.is_probe = True
+            self._resume(shard, wanted)
+            self._held.has_probed = bool(shard.in_flight) or shard.wanted is not None
+
+    def _may_get_answer(self) -> bool:
+        """Return whether an attempt is in flight, or waits for permission."""
+        return any(shard.in_flight or shard.wanted is not None for shard in self._shards)
+
+    def _resume(self, shard: ShardProgress, wanted: WantedSend) -> None:
+        """Send a hedge or retry that had to wait, if it is still of use."""
+        if shard.is_settled or self._is_sealed or trio.current_time() >= self._end_at:
+            return
+        if not self._send_again(shard, wanted.reason, wanted.may_repeat):
+            self._settle_if_idle(shard)
+
     def _waits_for_permission(self, shard: ShardProgress, wanted: WantedSend) -> bool:
         """Return whether a send has to wait until another VM permits it."""
         return False
--- a/libs/sending/src/zinnia_sending/subqueries.py
+++ b/libs/sending/src/zinnia_sending/subqueries.py
@@ -100,13 +100,9 @@
             shard = self._shards_by_service[service]
             shard.permitted_sends += 1
             wanted, shard.wanted = shard.wanted, None
-            if wanted is None or shard.is_settled or self._has_ended():
-                continue
-            if not self._send_again(shard, wanted.reason, wanted.may_repeat):
-                self._settle_if_idle(shard)
-
-    def _has_ended(self) -> bool:
-        return self._is_sealed or trio.current_time() >= self._end_at
+            if wanted is not None:
+                self._resume(shard, wanted)
+        self._probe_held()
 
     def _waits_for_permission(self, shard: ShardProgress, wanted: WantedSend) -> bool:
         if shard.sends < shard.permitted_sends:
@@ -172,7 +168,9 @@
         )
         signatures = tuple((shard.service, shard.answer.signature) for shard in answered)
         failures = tuple(
-            ShardFailure(shard.service, shard.sends) for shard in shards if shard.answer is None
+            ShardFailure(shard.service, shard.sends, shard.has_crashed)
+            for shard in shards
+            if shard.answer is None
         )
         departures = tuple(self._fleet.notices.list_departures(trio.current_time()))
         return PartialResult(signatures, records, failures, departures)
--- a/libs/sending/tests/test_replica.py
+++ b/libs/sending/tests/test_replica.py
@@ -17,6 +17,7 @@
 class PlainRequest(PreparedRequest):
     request_id = b"own"
     is_head = False
+    fingerprint = "fingerprint"
 
     def render(self, replica, remaining_s):
         return b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
--- a/libs/sending/tests/test_runs.py
+++ b/libs/sending/tests/test_runs.py
@@ -14,7 +14,7 @@
 
 from zinnia_sending.answers import ExchangeResult
 from zinnia_sending.attempts import SendReason
-from zinnia_sending.runs import RunVerdict
+from zinnia_sending.outcomes import RunVerdict
 from zinnia_sending.shards import REQUEST_END_MARGIN_S
 
 FAST_ANSWER = (0.01, make_answered())
