Hold lapsed entries from the end of a real outage of the store only

Cause: one failed call, such as on a reset connection, counted as an outage of the store for 5 s, and was passed on to followers; a removal that was heard in that time was held for 2 s from the time at which each VM heard of it, on top of the delay of the news. The log shows the draining replicas of one listing at 29.31 s and nothing about those that it lacks, which got requests until 29.60 s, 3.09 s after their removal. `replica_held` is the line that was missing.

Change: an outage is a time without any served call that is long enough for entries to lapse, with two failed calls; a follower believes its source only if its own call has failed as well; a hold ends 2 s after the outage at all VMs.

Replaced test: test_feeds.py asked for a mark after a single failed call, which is the fault. It now asks for one after a real outage, and for none after one or two failed calls.

--- a/libs/catalog/src/zinnia_catalog/catalog.py
+++ b/libs/catalog/src/zinnia_catalog/catalog.py
@@ -8,7 +8,6 @@
 from zinnia_catalog.objects import Change, ObjectKind, StoredObject
 from zinnia_catalog.releases import ReleaseOrder
 from zinnia_catalog.replicas import ReplicaEntry
-from zinnia_catalog.restores import REANNOUNCE_TIMEOUT_S
 from zinnia_catalog.routes import Configuration
 
 
@@ -47,6 +46,10 @@
     def remove_replica(self, replica: ReplicaId, reason: str) -> None:
         """Remove a replica; ``reason`` is a text for the log."""
 
+    @abstractmethod
+    def hold_replica(self, replica: ReplicaId, hold_s: float) -> None:
+        """Note that a replica without an entry stays in use for ``hold_s`` seconds at most."""
+
     @abstractmethod
     def change_data_centre(self, data_centre: DataCentreId, is_out: bool) -> None:
         """Take a data centre out of service if ``is_out``, else return it to service."""
@@ -80,17 +83,19 @@
         self._clock = clock
         self._removal_due: dict[ReplicaId, float] = {}
 
-    def apply(self, kind: ObjectKind, changes: tuple[Change, ...], after_outage: bool) -> None:
+    def apply(
+        self, kind: ObjectKind, changes: tuple[Change, ...], hold_until: float | None
+    ) -> None:
         """Apply changes of one kind.
 
-        With ``after_outage``, a removed replica is kept for ``REANNOUNCE_TIMEOUT_S`` unless it was
-        draining: its entry may have lapsed only because it couldn't be renewed during the outage.
+        Until the clock time ``hold_until``, a removed replica is kept unless it was draining: its
+        entry may have lapsed only because it couldn't be renewed during an outage of the store.
         """
         for change in changes:
             if kind is ObjectKind.CONFIGURATION:
                 self._apply_configuration(change)
             elif kind is ObjectKind.REPLICAS:
-                self._apply_replica(change, after_outage)
+                self._apply_replica(change, hold_until)
             elif kind is ObjectKind.DATA_CENTRES_OUT:
                 self._apply_data_centre(change)
             elif kind is ObjectKind.RELEASES:
@@ -119,15 +124,12 @@
         self.configuration = configuration
         self._listener.adopt_configuration(configuration)
 
-    def _apply_replica(self, change: Change, after_outage: bool) -> None:
+    def _apply_replica(self, change: Change, hold_until: float | None) -> None:
         replica = ReplicaId(change.object.name)
         if change.is_deleted:
             if replica not in self.replicas:
                 return
-            if after_outage and not self.replicas[replica].is_draining:
-                self._removal_due.setdefault(replica, self._clock() + REANNOUNCE_TIMEOUT_S)
-                return
-            self._remove(replica, "its entry was removed from the store")
+            self._apply_removal(replica, hold_until)
             return
         entry = self._decoder.decode_replica(change.object)
         if entry is None:
@@ -137,6 +139,14 @@
         self.replicas[replica] = entry
         self._listener.update_replica(entry)
 
+    def _apply_removal(self, replica: ReplicaId, hold_until: float | None) -> None:
+        hold_s = 0.0 if hold_until is None else hold_until - self._clock()
+        if hold_s <= 0 or self.replicas[replica].is_draining:
+            self._remove(replica, "its entry was removed from the store")
+        elif replica not in self._removal_due:
+            self._removal_due[replica] = hold_until
+            self._listener.hold_replica(replica, hold_s)
+
     def _remove(self, replica: ReplicaId, reason: str) -> None:
         self._removal_due.pop(replica, None)
         if self.replicas.pop(replica, None) is not None:
--- a/libs/catalog/src/zinnia_catalog/restores.py
+++ b/libs/catalog/src/zinnia_catalog/restores.py
@@ -19,6 +19,14 @@
 DEFAULT_HEARTBEAT_S = 1.2
 
 
+def find_min_outage(heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> float:
+    """Return the shortest outage of the store, in seconds, in which an entry may lapse.
+
+    The entry was written up to one heartbeat interval before the outage.
+    """
+    return (MISSED_HEARTBEATS - 1) * heartbeat_s
+
+
 @dataclass(frozen=True, slots=True)
 class HoldTimes:
     """Longest time, in seconds, for which a VM goes by what it knew instead of the copy.
--- a/libs/catalog/tests/test_catalog.py
+++ b/libs/catalog/tests/test_catalog.py
@@ -1,8 +1,9 @@
 import unittest
 
-from zinnia_catalog.catalog import REANNOUNCE_TIMEOUT_S, Catalog, CatalogListener, ObjectDecoder
+from zinnia_catalog.catalog import Catalog, CatalogListener, ObjectDecoder
 from zinnia_catalog.objects import Change, ObjectKind, StoredObject
 from zinnia_catalog.replicas import ReplicaEntry
+from zinnia_catalog.restores import REANNOUNCE_TIMEOUT_S
 from zinnia_catalog.routes import CallerLimits, Configuration
 
 
@@ -35,6 +36,9 @@
     def remove_replica(self, replica, reason):
         self.events.append(("removed", replica))
 
+    def hold_replica(self, replica, hold_s):
+        self.events.append(("held", replica, round(hold_s, 3)))
+
     def change_data_centre(self, data_centre, is_out):
         self.events.append(("data_centre", data_centre, is_out))
 
@@ -48,13 +52,15 @@
         self.listener = FakeListener()
         self.catalog = Catalog(FakeDecoder(), self.listener, lambda: self.now)
 
-    def write(self, kind, name, spec, after_outage=False):
+    def write(self, kind, name, spec):
         change = Change(StoredObject(name, 1, spec), False)
-        self.catalog.apply(kind, (change,), after_outage)
+        self.catalog.apply(kind, (change,), None)
 
     def remove(self, name, after_outage):
+        """Remove a replica; with ``after_outage``, an outage of the store has ended at time 0."""
         change = Change(StoredObject(name, 2, None), True)
-        self.catalog.apply(ObjectKind.REPLICAS, (change,), after_outage)
+        hold_until = REANNOUNCE_TIMEOUT_S if after_outage else None
+        self.catalog.apply(ObjectKind.REPLICAS, (change,), hold_until)
 
     def test_older_configuration_is_never_adopted(self):
         """Guards against going back to an older configuration when the store serves a stale one."""
@@ -88,6 +94,20 @@
         self.assertIsNone(self.catalog.find_expiry())
         self.assertLess(self.now, 3.0 - 0.2)
 
+    def test_entry_is_held_from_the_end_of_the_outage(self):
+        """Load pattern: a VM hears of a removal 1.5 s after the end of an outage, or later.
+
+        Guards against a hold that begins anew with each VM, from the time at which it hears of it.
+        """
+        self.write(ObjectKind.REPLICAS, "r", "ready")
+        self.now = 1.5
+        self.remove("r", after_outage=True)
+        self.assertEqual(("held", "r", 0.5), self.listener.events[-1])
+        self.write(ObjectKind.REPLICAS, "r", "ready")
+        self.now = REANNOUNCE_TIMEOUT_S
+        self.remove("r", after_outage=True)
+        self.assertEqual(("removed", "r"), self.listener.events[-1])
+
     def test_entry_that_is_rewritten_after_an_outage_is_kept(self):
         """Guards against removing a replica that registered again in time."""
         self.write(ObjectKind.REPLICAS, "r", "ready")
--- a/libs/entry/src/zinnia_entry/feeds.py
+++ b/libs/entry/src/zinnia_entry/feeds.py
@@ -71,6 +71,7 @@
             try:
                 has_changed = await self._fetch_changes()
             except HistoryLostError:
+                self._store_cache.note_served()
                 self._must_list = True
                 self._events.note("history_lost", kind=self._kind.value)
                 await trio.sleep(self._random.random() * MIN_RETRY_DELAY_S)
@@ -149,7 +150,7 @@
         raise StoreError("its listing is behind what is known")
 
     def _note_failure(self, error: StoreError) -> None:
-        self._store_cache.note_failure(self._kind)
+        self._store_cache.note_failure()
         self._metrics.count_store_call(self._kind.value, "failed")
         if not self.is_unavailable:
             self.is_unavailable = True
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -18,7 +18,7 @@
 from zinnia_catalog.members import rank_names
 from zinnia_catalog.objects import ObjectKind, ObjectStore
 from zinnia_catalog.observations import Observation
-from zinnia_catalog.restores import find_hold_times
+from zinnia_catalog.restores import find_hold_times, find_min_outage
 from zinnia_catalog.routes import CallerLimits
 from zinnia_delegation.delegator import PeerDelegator
 from zinnia_delegation.messages import DELEGATION_PROTOCOL_ID
@@ -161,7 +161,11 @@
         self._retry_budget = RetryBudget(settings.retry_bounds, retry_shares.get_share)
         findings = FleetFindings(self._fleet)
         self._store_cache = StoreCache(
-            FOLLOWED_KINDS, self.catalog.apply, findings, self._make_collection
+            FOLLOWED_KINDS,
+            self.catalog.apply,
+            findings,
+            self._make_collection,
+            find_min_outage(settings.heartbeat_s),
         )
         self._registration = Registration(
             make_member(settings),
--- a/libs/entry/src/zinnia_entry/registration.py
+++ b/libs/entry/src/zinnia_entry/registration.py
@@ -63,6 +63,7 @@
             try:
                 await self._update()
             except StoreError as error:
+                self._store_cache.note_failure()
                 self._events.note("members_unknown", cause=error.cause)
             spread = 1.0 + INTERVAL_SPREAD * (2.0 * self._random.random() - 1.0)
             with self._store_cache.cancel_on_new_era() as scope:
@@ -74,8 +75,9 @@
 
     async def _update(self) -> None:
         listing = await self._store.list(ObjectKind.MEMBERS, allow_stale=True)
+        self._store_cache.note_served()
         changes = self._members.replace(listing, trio.current_time())
-        self._catalog.apply(ObjectKind.MEMBERS, changes, False)
+        self._catalog.apply(ObjectKind.MEMBERS, changes, None)
         if listing.era == self._registered_era:
             return
         if not self._is_listed(listing):
--- a/libs/entry/src/zinnia_entry/sources.py
+++ b/libs/entry/src/zinnia_entry/sources.py
@@ -155,16 +155,18 @@
             revision = self._store_cache.collections[kind].revision
             await self._store.watch(kind, revision, 0.0)
         except HistoryLostError:
+            self._store_cache.note_served()
             return True
         except StoreError as error:
             self._metrics.count_store_call(kind.value, "failed")
-            self._store_cache.note_failure(kind)
+            self._store_cache.note_failure()
             self._direct_until = 0.0
             await trio.sleep(
                 max(error.retry_after_s, STORE_RETRY_DELAY_S * (0.5 + self._random.random()))
             )
             return False
         self._metrics.count_store_call(kind.value, "served")
+        self._store_cache.note_served()
         return True
 
     async def _follow_peer(self, candidate: Candidate, search_until: float) -> bool:
--- a/libs/entry/tests/test_feeds.py
+++ b/libs/entry/tests/test_feeds.py
@@ -14,6 +14,7 @@
     StoredObject,
     StoreError,
 )
+from zinnia_catalog.restores import REANNOUNCE_TIMEOUT_S
 from zinnia_entry.feeds import BATCH_DELAY_S, StoreFeed
 from zinnia_entry.metrics import Metrics
 from zinnia_relay.store_cache import StoreCache
@@ -179,11 +180,28 @@
 
         Guards against treating these replicas as removed.
         """
+        before, after = self.find_hold_ends([StoreError("unavailable")] * 6)
+        self.assertIsNone(before)
+        self.assertGreater(after, 2.4 + REANNOUNCE_TIMEOUT_S)
+
+    def test_removal_soon_after_a_failed_call_is_not_marked(self):
+        """Load pattern: a connection to the store is reset while replicas leave.
+
+        Guards against taking one failed call for an outage, in which entries may lapse.
+        """
+        for failures in (1, 2):
+            with self.subTest(failures=failures):
+                self.applied.clear()
+                ends = self.find_hold_ends([StoreError("unavailable")] * failures)
+                self.assertEqual([None, None], ends)
+
+    def find_hold_ends(self, failures):
+        """Let calls fail between a listing and a removal; return what is applied with each."""
         removal = Changes((Change(make_object("a", 9), True),), 9)
         self.store.lists = [Listing((make_object("a", 4),), 7)]
-        self.store.watches = self.fail_after([StoreError("unavailable"), removal])
-        self.run_feed(2.0)
-        self.assertEqual([False, True], [row[2] for row in self.applied])
+        self.store.watches = self.fail_after([*failures, removal])
+        self.run_feed(12.0)
+        return [row[2] for row in self.applied]
 
     def test_changes_of_many_replicas_are_fetched_in_batches(self):
         """Load pattern: an index is repartitioned and many replicas register one by one.
--- a/libs/entry/tests/test_registration.py
+++ b/libs/entry/tests/test_registration.py
@@ -40,7 +40,7 @@
     def __init__(self):
         self.members = set()
 
-    def apply(self, kind, changes, after_outage):
+    def apply(self, kind, changes, hold_until):
         for change in changes:
             self.members.add(change.object.name)
 
--- a/libs/relay/src/zinnia_relay/messages.py
+++ b/libs/relay/src/zinnia_relay/messages.py
@@ -88,8 +88,8 @@
     ``era`` is the era of the store to which the revisions belong. ``holds`` lists the objects for
     which the sender does not go by the store.
     ``age_ms`` is the time since the store last confirmed this kind to the sender, directly or
-    through another VM, -1 if it never did. ``outage_age_ms`` is the time since a call of the store
-    for this kind failed, -1 if none has failed.
+    through another VM, -1 if it never did. ``outage_age_ms`` is the time since the end of the
+    latest outage of the store that the sender knows of, -1 if it knows of none.
     """
 
     thrift_spec = (
--- a/libs/relay/src/zinnia_relay/store_cache.py
+++ b/libs/relay/src/zinnia_relay/store_cache.py
@@ -8,6 +8,7 @@
 
 from zinnia_catalog.collections import Collection
 from zinnia_catalog.objects import Change, Changes, Listing, ObjectKind
+from zinnia_catalog.restores import REANNOUNCE_TIMEOUT_S, find_min_outage
 from zinnia_relay.exchange import FindingsExchange, FindingsSource
 from zinnia_relay.messages import (
     FollowReply,
@@ -16,12 +17,11 @@
     apply_update,
     make_update,
 )
+from zinnia_relay.outages import OutageTracker
 
-# Removals this soon after a failed call of the store may stem from the outage: entries of running
-# replicas lapse when they can't be renewed.
-RECENT_OUTAGE_S = 5.0
+DEFAULT_MIN_OUTAGE_S = find_min_outage()
 
-ChangeHandler = Callable[[ObjectKind, tuple[Change, ...], bool], None]
+ChangeHandler = Callable[[ObjectKind, tuple[Change, ...], float | None], None]
 
 
 class StoreCache:
@@ -32,11 +32,14 @@
     kinds : tuple[ObjectKind, ...]
         The kinds of objects to cache.
     apply : Callable
-        Called with the kind, its changes, and whether the store failed shortly before.
+        Called with the kind, its changes, and the time until which removals may stem from an outage
+        of the store; None if there was none.
     source : FindingsSource, optional
         Provides what this VM has found out, and receives what other VMs have.
     make_collection : Callable[[ObjectKind], Collection], optional
         Returns an empty collection of a kind.
+    min_outage_s : float, optional
+        Shortest outage of the store, in seconds, in which entries of running replicas may lapse.
     """
 
     def __init__(
@@ -45,11 +48,12 @@
         apply: ChangeHandler,
         source: FindingsSource | None = None,
         make_collection: Callable[[ObjectKind], Collection] = Collection,
+        min_outage_s: float = DEFAULT_MIN_OUTAGE_S,
     ) -> None:
         self.collections = {kind: make_collection(kind) for kind in kinds}
         self._apply = apply
         self._confirmed_at: dict[ObjectKind, float] = {}
-        self._failed_at: dict[ObjectKind, float] = {}
+        self._outages = OutageTracker(min_outage_s)
         self._changed = trio.Event()
         self._findings = FindingsExchange(source)
         self._era = 0
@@ -72,6 +76,7 @@
 
     def apply_listing(self, kind: ObjectKind, listing: Listing) -> tuple[Change, ...]:
         """Apply a listing of the store; return the changes that it makes."""
+        self.note_served()
         changes = self.collections[kind].replace(listing, trio.current_time())
         self.confirm(kind, changes)
         self._check_era()
@@ -79,6 +84,7 @@
 
     def apply_changes(self, kind: ObjectKind, update: Changes) -> tuple[Change, ...]:
         """Apply changes that the store has replied; return those that took effect."""
+        self.note_served()
         changes = self.collections[kind].advance(update, trio.current_time())
         self.confirm(kind, changes)
         return changes
@@ -103,19 +109,23 @@
         for kind, collection in self.collections.items():
             changes = collection.expire_holds(trio.current_time())
             if changes:
-                self._apply(kind, changes, False)
+                self._apply(kind, changes, None)
 
     def confirm(self, kind: ObjectKind, changes: tuple[Change, ...], age_s: float = 0.0) -> None:
         """Record that the store confirmed a kind ``age_s`` seconds ago, and report its changes."""
         confirmed_at = trio.current_time() - age_s
         self._confirmed_at[kind] = max(confirmed_at, self._confirmed_at.get(kind, confirmed_at))
         if changes:
-            self._apply(kind, changes, self._had_recent_outage(kind))
+            self._apply(kind, changes, self._find_hold_end())
             self._notify_followers()
 
-    def note_failure(self, kind: ObjectKind) -> None:
-        """Record that a call of the store for a kind failed."""
-        self._failed_at[kind] = trio.current_time()
+    def note_served(self) -> None:
+        """Record that the store has answered a call."""
+        self._outages.record_served()
+
+    def note_failure(self) -> None:
+        """Record that a call of the store failed."""
+        self._outages.record_failed()
 
     def is_fresh(self, limits: dict[ObjectKind, float]) -> bool:
         """Whether every kind was confirmed within its limit in seconds."""
@@ -147,21 +157,19 @@
             kind = _find_kind(update.kind)
             if kind is None or kind not in self.collections or update.age_ms < 0:
                 continue
-            self._adopt_outage_age(kind, update.outage_age_ms)
+            if self._is_newer(kind, update):
+                self._outages.adopt(_read_outage_end(update))
             changes = apply_update(self.collections[kind], update, trio.current_time())
             if update.position >= self.collections[kind].position:
                 self.confirm(kind, changes, update.age_ms / 1000)
         self._check_era()
 
-    def _adopt_outage_age(self, kind: ObjectKind, outage_age_ms: int) -> None:
-        """Replace the time of the last store failure by the peer's.
-
-        A failed call of this VM may only mean that the store rejects this VM, not that it is down.
-        """
-        if outage_age_ms < 0:
-            self._failed_at.pop(kind, None)
-        else:
-            self._failed_at[kind] = trio.current_time() - outage_age_ms / 1000
+    def _is_newer(self, kind: ObjectKind, update: KindUpdate) -> bool:
+        """Return whether the store has confirmed a kind to the sender later than to this VM."""
+        if update.position < self.collections[kind].position:
+            return False
+        age_s = self.get_age(kind)
+        return age_s is None or update.age_ms / 1000 < age_s
 
     def _check_era(self) -> None:
         """Tell followers and waiting calls of a new era, which holds for all kinds."""
@@ -185,16 +193,27 @@
 
     def _make_update(self, kind: ObjectKind, request: FollowRequest) -> KindUpdate:
         age_s = self.get_age(kind)
-        failed_at = self._failed_at.get(kind)
-        outage_ms = -1 if failed_at is None else int((trio.current_time() - failed_at) * 1000)
+        ended_at = self._outages.ended_at
+        outage_ms = -1 if ended_at is None else int((trio.current_time() - ended_at) * 1000)
         age_ms = -1 if age_s is None else int(age_s * 1000)
         position = request.get_position(kind)
         collection = self.collections[kind]
         return make_update(collection, position, age_ms, outage_ms, trio.current_time())
 
-    def _had_recent_outage(self, kind: ObjectKind) -> bool:
-        failed_at = self._failed_at.get(kind)
-        return failed_at is not None and trio.current_time() - failed_at < RECENT_OUTAGE_S
+    def _find_hold_end(self) -> float | None:
+        """Return the time until which lapsed entries of running replicas may be written again.
+
+        It counts from the end of the outage, not from the time at which this VM hears of a removal.
+        """
+        ended_at = self._outages.ended_at
+        return None if ended_at is None else ended_at + REANNOUNCE_TIMEOUT_S
+
+
+def _read_outage_end(update: KindUpdate) -> float | None:
+    """Return the time at which the latest outage ended that the sender knows."""
+    if update.outage_age_ms < 0:
+        return None
+    return trio.current_time() - update.outage_age_ms / 1000
 
 
 def _find_kind(value: str) -> ObjectKind | None:
--- a/libs/relay/tests/test_relay.py
+++ b/libs/relay/tests/test_relay.py
@@ -3,7 +3,8 @@
 import trio
 import trio.testing
 
-from zinnia_catalog.objects import Listing, ObjectKind, StoredObject
+from zinnia_catalog.objects import Changes, Listing, ObjectKind, StoredObject
+from zinnia_catalog.restores import REANNOUNCE_TIMEOUT_S
 from zinnia_relay.client import ANSWER_MARGIN_S, PeerConnection, PeerSilentError
 from zinnia_relay.frames import LENGTH_PREFIX, FrameStream
 from zinnia_relay.messages import FollowReply, encode
@@ -11,6 +12,8 @@
 from zinnia_relay.store_cache import StoreCache
 
 KINDS = (ObjectKind.CONFIGURATION, ObjectKind.REPLICAS)
+# Entries lapse in an outage of this length.
+OUTAGE_S = 3.0
 LIMITS_S = {ObjectKind.CONFIGURATION: 2.0, ObjectKind.REPLICAS: 2.0}
 
 
@@ -21,9 +24,13 @@
         self.applied = []
         self.store_cache = StoreCache(KINDS, self.apply)
 
-    def apply(self, kind, changes, after_outage):
+    def apply(self, kind, changes, hold_until):
         names = [(change.object.name, change.is_deleted) for change in changes]
-        self.applied.append((kind, names, after_outage))
+        self.applied.append((kind, names, hold_until))
+
+    def fail_calls(self, count=2):
+        for _ in range(count):
+            self.store_cache.note_failure()
 
     def store(self, kind, name, revision, age_s=0.0):
         collection = self.store_cache.collections[kind]
@@ -136,12 +143,17 @@
         async def test(leader, follower, peer):
             leader.store(ObjectKind.REPLICAS, "r1", 8)
             await peer.poll(0.0)
-            leader.store_cache.note_failure(ObjectKind.REPLICAS)
+            leader.store_cache.note_served()
+            leader.fail_calls()
+            await trio.sleep(OUTAGE_S)
+            follower.fail_calls(1)
+            leader.store_cache.apply_listing(ObjectKind.REPLICAS, Listing((), 9))
+            ended_at = trio.current_time()
             await trio.sleep(1.0)
-            collection = leader.store_cache.collections[ObjectKind.REPLICAS]
-            leader.store_cache.confirm(ObjectKind.REPLICAS, collection.replace(Listing((), 9)))
             await peer.poll(0.0)
-            self.assertEqual((ObjectKind.REPLICAS, [("r1", True)], True), follower.applied[-1])
+            kind, names, hold_until = follower.applied[-1]
+            self.assertEqual((ObjectKind.REPLICAS, [("r1", True)]), (kind, names))
+            self.assertAlmostEqual(ended_at + REANNOUNCE_TIMEOUT_S, hold_until, places=2)
 
         self.run_pair(test)
 
@@ -156,11 +168,54 @@
         async def test(leader, follower, peer):
             leader.store(ObjectKind.REPLICAS, "r1", 8)
             await peer.poll(0.0)
-            follower.store_cache.note_failure(ObjectKind.REPLICAS)
+            follower.store_cache.note_served()
+            follower.fail_calls()
+            await trio.sleep(OUTAGE_S)
+            follower.store_cache.note_served()
             collection = leader.store_cache.collections[ObjectKind.REPLICAS]
             leader.store_cache.confirm(ObjectKind.REPLICAS, collection.replace(Listing((), 9)))
             await peer.poll(0.0)
-            self.assertEqual((ObjectKind.REPLICAS, [("r1", True)], False), follower.applied[-1])
+            self.assertEqual((ObjectKind.REPLICAS, [("r1", True)], None), follower.applied[-1])
+
+        self.run_pair(test)
+
+    def test_removal_from_a_peer_that_was_cut_off_is_no_lapse(self):
+        """Load pattern: the links of the VM that watches the store are cut; its followers are well.
+
+        Guards against followers that send to a replica for longer as only its link had failed.
+        """
+
+        async def test(leader, follower, peer):
+            leader.store(ObjectKind.REPLICAS, "r1", 8)
+            await peer.poll(0.0)
+            leader.store_cache.note_served()
+            leader.fail_calls()
+            await trio.sleep(OUTAGE_S)
+            leader.store_cache.apply_listing(ObjectKind.REPLICAS, Listing((), 9))
+            self.assertIsNotNone(leader.applied[-1][2])
+            await peer.poll(0.0)
+            self.assertEqual((ObjectKind.REPLICAS, [("r1", True)], None), follower.applied[-1])
+
+        self.run_pair(test)
+
+    def test_peer_without_newer_data_does_not_end_a_hold(self):
+        """Load pattern: two VMs watch the store, and one of them hears first that it is back.
+
+        Guards against dropping running replicas since the other one knows of no end of the outage.
+        """
+
+        async def test(leader, follower, peer):
+            leader.store(ObjectKind.REPLICAS, "r1", 8)
+            await peer.poll(0.0)
+            follower.store_cache.note_served()
+            follower.fail_calls()
+            await trio.sleep(OUTAGE_S)
+            changes = Changes((), 8)
+            follower.store_cache.apply_changes(ObjectKind.REPLICAS, changes)
+            await trio.sleep(0.1)
+            await peer.poll(0.0)
+            follower.store_cache.apply_listing(ObjectKind.REPLICAS, Listing((), 9))
+            self.assertIsNotNone(follower.applied[-1][2])
 
         self.run_pair(test)
 
--- a/libs/sending/src/zinnia_sending/fleet.py
+++ b/libs/sending/src/zinnia_sending/fleet.py
@@ -142,6 +142,10 @@
                 "replica_removed", replica=replica, service=known.entry.service, reason=reason
             )
 
+    def hold_replica(self, replica: ReplicaId, hold_s: float) -> None:
+        """Log that a replica without an entry stays in use for a time."""
+        self._events.note("replica_held", replica=replica, hold_s=round(hold_s, 2))
+
     def change_data_centre(self, data_centre: DataCentreId, is_out: bool) -> None:
         """Exclude a data centre, or include it again and treat its replicas as cold."""
         now = trio.current_time()
