Count the objects of many small headers towards the memory of the VM

Other operators saw: a faulty replica sent bytes without end, and the VM that had called it ran out of memory; the requests of other clients ended with it.

Here each answer is limited, but what many answers hold together was counted by the bytes of their bodies only. 60 KB of headers of four bytes take 1.5 MB as objects, and chunks of two bytes ten times their size: 100 connections held 152 MB, 152 MB (trailers) and 38 MB (chunks) of the 200 to 300 MB of a VM.

Change: headers beyond the 64th count with the objects that hold them, and a body is one buffer.

Measured: test_endless_answers.py (short headers, trailers, chunks on 100 connections, limit 8 MiB) failed before with these figures and stays below 16 MiB.

--- a/libs/sending/src/zinnia_sending/limits.py
+++ b/libs/sending/src/zinnia_sending/limits.py
@@ -11,6 +11,10 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Bytes of framing per byte of the body; chunks with one byte of data have five.
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Headers of an answer that are not counted towards the memory of the VM; each further one counts
+# with its bytes and with those of the objects that hold it.
+UNCOUNTED_HEADERS = 64
+HEADER_OBJECT_BYTES = 160
 # Limit of all answers in progress on the smallest VM, which has 200 MB.
 DEFAULT_MEMORY_BYTES = 24 * 1024 * 1024
 
--- a/libs/sending/src/zinnia_sending/parser.py
+++ b/libs/sending/src/zinnia_sending/parser.py
@@ -5,7 +5,13 @@
 import httptools
 
 from zinnia_sending.answers import AnswerFault
-from zinnia_sending.limits import FRAMING_BYTES_PER_BODY_BYTE, MAX_HEAD_BYTES, AnswerLimits
+from zinnia_sending.limits import (
+    FRAMING_BYTES_PER_BODY_BYTE,
+    HEADER_OBJECT_BYTES,
+    MAX_HEAD_BYTES,
+    UNCOUNTED_HEADERS,
+    AnswerLimits,
+)
 
 # The connection is closed after more skipped answers (to other requests) than this.
 MAX_SKIPPED_ANSWERS = 3
@@ -51,7 +57,7 @@
         self._limits = limits or AnswerLimits()
         self._error: BadAnswerError | None = None
         self._received = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
         self._skipped_size = 0
         self._reserved = 0
@@ -65,7 +71,7 @@
     @property
     def body(self) -> bytes:
         """The body received so far."""
-        return b"".join(self._body)
+        return bytes(self._body)
 
     @property
     def has_received(self) -> bool:
@@ -102,6 +108,15 @@
         self._limits.memory.release(self._reserved)
         self._reserved = 0
 
+    def _reserve(self, size: int) -> bool:
+        """Count bytes towards the memory of the VM; return False, with an error, if it is full."""
+        if self._limits.memory.reserve(size):
+            self._reserved += size
+            return True
+        text = "the answers in progress fill the memory of this VM"
+        self._error = BadAnswerError(text, AnswerFault.MEMORY_FULL)
+        return False
+
     def _check_overhead(self) -> None:
         """Reject an answer whose head, framing or trailers do not end."""
         body_size = self._size + self._skipped_size
@@ -138,8 +153,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header with its name in lower case."""
-        if not self.is_complete:
-            self.headers.append((name.lower(), value))
+        if self.is_complete or self._error is not None:
+            return
+        self.headers.append((name.lower(), value))
+        if len(self.headers) > UNCOUNTED_HEADERS:
+            self._reserve(len(name) + len(value) + HEADER_OBJECT_BYTES)
 
     def on_headers_complete(self) -> None:
         """Store status and framing, and decide whether to skip the answer."""
@@ -169,12 +187,8 @@
         self._size += len(data)
         if self._size > limit:
             self._reject(AnswerFault.BODY_TOO_LARGE, "body", limit)
-        elif not self._limits.memory.reserve(len(data)):
-            text = "the answers in progress fill the memory of this VM"
-            self._error = BadAnswerError(text, AnswerFault.MEMORY_FULL)
-        else:
-            self._reserved += len(data)
-            self._body.append(data)
+        elif self._reserve(len(data)):
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Complete the answer; drop an interim answer or one to another request."""
--- a/libs/sending/tests/test_endless_answers.py
+++ b/libs/sending/tests/test_endless_answers.py
@@ -18,6 +18,8 @@
 MAX_MEMORY_BYTES = 8 * 1024 * 1024
 MAX_SECONDS = 0.5
 MAX_PART_BYTES = 256 * 1024
+# Connections that a VM may have to one replica, or one to each of many.
+MANY_CONNECTIONS = 100
 
 ENDLESS_ANSWERS = {
     "headers": (OK, b"X-Header: value\r\n", AnswerFault.HEAD_TOO_LARGE),
@@ -52,6 +54,16 @@
     return read, None
 
 
+def feed_until_refused(parser, head, repeated):
+    """Feed an answer up to its refusal, or to just below the limit of its bytes."""
+    try:
+        parser.feed(head)
+        for _ in range(15):
+            parser.feed(repeated * (4096 // len(repeated)))
+    except BadAnswerError:
+        pass
+
+
 class EndlessAnswerTest(unittest.TestCase):
     """Load pattern: a replica in trouble sends bytes without end until the caller closes."""
 
@@ -106,6 +118,30 @@
             parser.release_memory()
         self.assertEqual(0, memory.used)
 
+    def test_many_endless_answers_share_the_memory_of_the_vm(self):
+        """Load pattern: a faulty replica answers on all connections, with many small parts.
+
+        Guards against objects for each part that take many times the bytes that are counted.
+        """
+        parts = {
+            "short headers": (OK, b"a:\r\n"),
+            "short trailers": (CHUNKED_HEAD + b"0\r\n", b"a:\r\n"),
+            "short chunks": (CHUNKED_HEAD, b"2\r\nxy\r\n"),
+        }
+        for name, (head, repeated) in parts.items():
+            with self.subTest(name):
+                tracemalloc.start()
+                limits = AnswerLimits(MAX_PART_BYTES, AnswerMemory(MAX_MEMORY_BYTES))
+                parsers = [AnswerParser(limits=limits) for _ in range(MANY_CONNECTIONS)]
+                for parser in parsers:
+                    feed_until_refused(parser, head, repeated)
+                used, _ = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertLess(used, 2 * MAX_MEMORY_BYTES)
+                for parser in parsers:
+                    parser.release_memory()
+                self.assertEqual(0, limits.memory.used)
+
     def test_answers_within_the_limits_are_complete(self):
         """Guards against limits that refuse what replicas send in normal operation."""
         body = b"r" * MAX_PART_BYTES
