Tell other VMs of crashes for 10 s only, unless the request is a suspect

Crashes of requests that were answered since, and single crashes, matter to no other VM, but were sent with each poll for ten minutes. test_crashes.py holds the rule. The choice of the replica for a suspect stands with the other choices in shards.py.

--- a/libs/catalog/src/zinnia_catalog/crashes.py
+++ b/libs/catalog/src/zinnia_catalog/crashes.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
 from zinnia_catalog.ids import Fingerprint, ReplicaId, ServiceName, VersionId
@@ -23,6 +23,8 @@
 MAX_REFUSAL_S = 320.0
 # Crashes and answers are forgotten after this time.
 CRASH_TTL_S = 600.0
+# Other VMs are told of suspects until these are forgotten, and of the rest for this time.
+TOLD_S = 10.0
 # Limits on what is remembered, the latest ones, and on what one message tells.
 MAX_FINGERPRINTS = 256
 MAX_CRASHES = 8
@@ -81,6 +83,9 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    def __contains__(self, fingerprint: Fingerprint) -> bool:
+        return fingerprint in self._records
+
     def add(self, crash: Crash, now: float) -> bool:
         """Add a crash; return whether it was not known and the request not answered since."""
         if crash.age_s > CRASH_TTL_S:
@@ -125,8 +130,10 @@
         crashes: list[Crash] = []
         answered: list[AnsweredRequest] = []
         for fingerprint, record in reversed(self._records.items()):
-            crashes += [_with_age(crash, now - at) for at, crash in record.crashes.values()]
-            if record.answered_at > -inf:
+            is_recent = now - record.changed_at <= TOLD_S
+            if is_recent or len(record.crashes) >= SUSPECT_CRASHES:
+                crashes += [_with_age(crash, now - at) for at, crash in record.crashes.values()]
+            if is_recent and record.answered_at > -inf:
                 answered.append(AnsweredRequest(fingerprint, now - record.answered_at))
         return CrashFindings(tuple(crashes[:MAX_TOLD]), tuple(answered[:MAX_TOLD]))
 
@@ -186,13 +193,4 @@
 
 
 def _with_age(crash: Crash, age_s: float) -> Crash:
-    return Crash(
-        crash.fingerprint,
-        crash.replica,
-        crash.started_ms,
-        crash.service,
-        crash.version,
-        crash.request_id,
-        crash.had_answered,
-        age_s,
-    )
+    return replace(crash, age_s=age_s)
--- a/libs/catalog/tests/test_crashes.py
+++ b/libs/catalog/tests/test_crashes.py
@@ -7,6 +7,7 @@
     MAX_FINGERPRINTS,
     MAX_REFUSAL_S,
     MAX_TOLD,
+    TOLD_S,
     AnsweredRequest,
     Crash,
     CrashFindings,
@@ -83,6 +84,21 @@
         self.assertEqual(MAX_TOLD, len(found.crashes))
         self.assertEqual(MAX_CRASHES, len(table.list_crashes("f1023", 1123.0)))
 
+    def test_only_suspects_are_told_for_long(self):
+        """Load pattern: replicas crash by themselves all day, and most requests are answered.
+
+        Guards against messages between VMs that are full of crashes that matter no more.
+        """
+        crashes = [make_crash(n, fingerprint="suspect") for n in range(3)]
+        crashes += [make_crash(n, fingerprint="sound") for n in range(2)]
+        table = self.make_table(*crashes, make_crash(0, fingerprint="answered"))
+        table.record_answer("answered", 101.0, 101.0)
+        self.assertEqual(5, len(table.list_recent(102.0).crashes))
+        self.assertEqual(1, len(table.list_recent(102.0).answered))
+        told = table.list_recent(102.0 + TOLD_S)
+        self.assertEqual({"suspect"}, {crash.fingerprint for crash in told.crashes})
+        self.assertEqual((), told.answered)
+
     def test_answers_of_requests_without_crashes_are_not_kept(self):
         """Guards against memory that grows with ordinary requests."""
         table = self.make_table(make_crash(0))
--- a/libs/sending/src/zinnia_sending/crashguard.py
+++ b/libs/sending/src/zinnia_sending/crashguard.py
@@ -114,7 +114,7 @@
             self._note_suspect(crash.fingerprint)
 
     def _record_answer(self, request: RunRequest) -> None:
-        if not len(self._table):
+        if not len(self._table) or request.prepared.fingerprint not in self._table:
             return
         now = trio.current_time()
         fingerprint = request.prepared.fingerprint
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -20,7 +20,6 @@
 )
 from zinnia_sending.fleet import Fleet
 from zinnia_sending.outcomes import RunOutcome, RunTiming, RunVerdict
-from zinnia_sending.replica import Replica
 from zinnia_sending.shards import ShardRun
 
 # An incomplete answer is sealed (later results are ignored) this fraction of the target latency
@@ -109,15 +108,6 @@
         self._is_probing = False
         return shard.answer is not None
 
-    def _choose_probe(self) -> tuple[ShardProgress, Replica] | None:
-        now = trio.current_time()
-        for shard in self._shards:
-            versions = self._fleet.crashes.list_crashed_versions(self._request, shard.service)
-            replica = self._fleet.choose_avoiding(shard.service, versions, now)
-            if replica is not None:
-                return shard, replica
-        return None
-
     def _settle_shard(self, shard: ShardProgress) -> None:
         super()._settle_shard(shard)
         if self._is_probing:
--- a/libs/sending/src/zinnia_sending/shards.py
+++ b/libs/sending/src/zinnia_sending/shards.py
@@ -162,6 +162,16 @@
                 planned.append((shard, replica))
         return planned
 
+    def _choose_probe(self) -> tuple[ShardProgress, Replica] | None:
+        """Choose a replica for the only send of a suspect, None without a usable one."""
+        now = trio.current_time()
+        for shard in self._shards:
+            versions = self._fleet.crashes.list_crashed_versions(self._request, shard.service)
+            replica = self._fleet.choose_avoiding(shard.service, versions, now)
+            if replica is not None:
+                return shard, replica
+        return None
+
     def _retry(self, shard: ShardProgress, attempt: Attempt, result: ExchangeResult) -> bool:
         """Send again after a failure if that is allowed; return whether the shard goes on.
 
