--- a/programs/measure/src/zinnia_measure/entry_cost.py
+++ b/programs/measure/src/zinnia_measure/entry_cost.py
@@ -12,7 +12,14 @@
 
 import trio
 
-from zinnia_catalog.ids import DataCentreId, ReplicaId, RouteName, ServiceName, VersionId
+from zinnia_catalog.ids import (
+    DataCentreId,
+    Fingerprint,
+    ReplicaId,
+    RouteName,
+    ServiceName,
+    VersionId,
+)
 from zinnia_catalog.replicas import ReplicaEntry
 from zinnia_catalog.routes import (
     CallerLimits,
@@ -30,8 +37,9 @@
 from zinnia_sending.events import NullSink
 from zinnia_sending.fleet import Fleet
 from zinnia_sending.latency import LatencyHistogram
+from zinnia_sending.outcomes import RunVerdict
 from zinnia_sending.protocol import PreparedRequest, ReplicaProtocol
-from zinnia_sending.runs import RequestRun, RunVerdict
+from zinnia_sending.runs import RequestRun
 
 FAN_OUTS = (20, 50, 110, 135)
 REPLICAS_PER_SHARD = 3
@@ -49,6 +57,7 @@
 
     request_id = b"0123456789abcdef"
     is_head = False
+    fingerprint = Fingerprint("0123456789abcdef")
 
     def render(self, replica: ReplicaId, remaining_s: float) -> bytes:
         """Return the bytes of the request."""
