--- a/libs/entry/src/zinnia_entry/metrics.py
+++ b/libs/entry/src/zinnia_entry/metrics.py
@@ -2,9 +2,11 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from zinnia_catalog.ids import ServiceName
 from zinnia_entry.reasons import Phase, RefusalReason, RequestOutcome, SubqueryOutcome
 from zinnia_sending.answers import AnswerFault, ExchangeResult, ReplicaNotice
 from zinnia_sending.attempts import SendReason
+from zinnia_sending.budgets import WindowUse
 from zinnia_sending.counters import SendCounters
 from zinnia_sending.outcomes import RunTiming
 
@@ -55,6 +57,15 @@
             ["kind"],
             registry=self.registry,
         )
+        self._retry_requests = self._make_gauge(
+            "zinnia_retry_window_requests", "Requests that count for the retry budget"
+        )
+        self._retry_sends = self._make_gauge(
+            "zinnia_retry_window_sends", "Sends beyond the first of each request"
+        )
+        self._retry_share = self._make_gauge(
+            "zinnia_retry_window_share", "Sends beyond the first that this VM may make"
+        )
         for reason in RefusalReason:
             self._refusals.labels(reason.value)
         for fault in AnswerFault:
@@ -71,6 +82,9 @@
     def _make_counter(self, name: str, description: str, labels: list[str]) -> Counter:
         return Counter(name, description, labels, registry=self.registry)
 
+    def _make_gauge(self, name: str, description: str) -> Gauge:
+        return Gauge(name, description, ["service"], registry=self.registry)
+
     def _make_histogram(self, name: str, description: str, labels: list[str]) -> Histogram:
         return Histogram(
             name, description, labels, registry=self.registry, buckets=LATENCY_BUCKETS_S
@@ -137,6 +151,12 @@
         """Set the seconds since the store last confirmed a kind of object."""
         self._confirmation_age.labels(kind).set(age_s)
 
+    def set_retry_use(self, service: ServiceName, use: WindowUse) -> None:
+        """Set what this VM has used of its share of the retry budget of a service."""
+        self._retry_requests.labels(service).set(use.requests)
+        self._retry_sends.labels(service).set(use.extra_sends)
+        self._retry_share.labels(service).set(use.allowed)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -302,7 +302,7 @@
         )
         if settings.metrics is not None:
             metrics = CallerServer(
-                MetricsHandler(self.metrics, self._refresh_ages), CallerLimits, self.events
+                MetricsHandler(self.metrics, self._refresh_gauges), CallerLimits, self.events
             )
             nursery.start_soon(metrics.serve, settings.metrics.host, settings.metrics.port, nursery)
         if settings.peers is not None:
@@ -339,11 +339,15 @@
         configuration = self.catalog.configuration
         return configuration.limits if configuration else CallerLimits()
 
-    def _refresh_ages(self) -> None:
+    def _refresh_gauges(self) -> None:
         for kind in FOLLOWED_KINDS:
             age_s = self._store_cache.get_age(kind)
             if age_s is not None:
                 self.metrics.set_confirmation_age(kind.value, age_s)
+        now = trio.current_time()
+        for service in self._retry_budget.list_services():
+            use = self._retry_budget.measure_use(service, now)
+            self.metrics.set_retry_use(service, use)
 
     def _reload_if_changed(self) -> None:
         try:
--- a/libs/sending/src/zinnia_sending/budgets.py
+++ b/libs/sending/src/zinnia_sending/budgets.py
@@ -59,6 +59,18 @@
         return self._this_half + self._last_half
 
 
+@dataclass(frozen=True, slots=True)
+class WindowUse:
+    """What this VM has used of its share of the extra sends to one service.
+
+    ``allowed`` is its share at present; it may be fractional.
+    """
+
+    requests: int
+    extra_sends: int
+    allowed: float
+
+
 class RetryBudget:
     """Limits the sends of each service beyond the first of each request.
 
@@ -91,10 +103,19 @@
 
         ``reserve`` is the fraction (0 to 1) of the budget that must remain after the send.
         """
+        use = self.measure_use(service, now)
+        return use.extra_sends + 1 <= use.allowed * (1.0 - reserve)
+
+    def measure_use(self, service: ServiceName, now: float) -> WindowUse:
+        """Return what this VM has used of its share in the window that ends now."""
         window = self._advance(service, now)
         slack = self.bounds.slack * self._get_share(service)
         allowed = USED_BOUND_FRACTION * (slack + self.bounds.ratio * window.requests)
-        return len(window.extra_sends) + 1 <= allowed * (1.0 - reserve)
+        return WindowUse(window.requests, len(window.extra_sends), allowed)
+
+    def list_services(self) -> list[ServiceName]:
+        """Return the services that had requests or extra sends since the start."""
+        return list(self._windows)
 
     def _advance(self, service: ServiceName, now: float) -> _SendWindow:
         window = self._windows.get(service)
