Leave the slack of the retry budget to the process before in the first window

Cause: a VM's share of the slack was counted over the life of a process. A VM that starts again got its whole share once more, while the sends of the process before it were still within the window.

The last 0.2 of the limit, which is left unused, covers one VM in four that starts again.

Change: a process uses nothing of the slack in its first window, and its requests add to its budget as before. A VM that has never been registered has had no process before, so it begins with half of its share: as many VMs as there are may join while the others still take theirs to be larger.

Why this works: what the process before has sent leaves the window before the new one adds to it, however often it is started. A VM that has run for a window loses nothing.

--- a/libs/catalog/src/zinnia_catalog/objects.py
+++ b/libs/catalog/src/zinnia_catalog/objects.py
@@ -126,8 +126,11 @@
         """
 
     @abstractmethod
-    async def create(self, kind: ObjectKind, name: str, spec: Any) -> None:
-        """Create an object that the tier owns; an object that exists already is left unchanged."""
+    async def create(self, kind: ObjectKind, name: str, spec: Any) -> bool:
+        """Create an object that the tier owns, and return True.
+
+        An object that exists already is left unchanged; then return False.
+        """
 
     @abstractmethod
     async def delete(self, kind: ObjectKind, name: str) -> None:
--- a/libs/delegation/tests/fakes.py
+++ b/libs/delegation/tests/fakes.py
@@ -1,5 +1,6 @@
 """Two VMs that share a fan-out over a link in memory, whose faults the test controls."""
 
+from math import inf
 from random import Random
 
 import trio
@@ -180,7 +181,7 @@
         for service in SHARDS:
             for replica in REPLICAS:
                 self.fleet.update_replica(make_entry(f"{service}-{replica}", service))
-        self.budget = RetryBudget(RetryBounds(0.2, 1000.0, 10.0), lambda service: 1.0)
+        self.budget = RetryBudget(RetryBounds(0.2, 1000.0, 10.0), lambda service: 1.0, -inf)
         self.sender = ScriptedSender(nursery, script, ran)
 
     def make_request(self, services, max_attempts, target_s, limit_s):
--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -158,7 +158,9 @@
         )
         self.catalog = Catalog(adapter.decoder, self._fleet, trio.current_time)
         retry_shares = RetryShares(settings.vm, self.count_vms, runners)
-        self._retry_budget = RetryBudget(settings.retry_bounds, retry_shares.get_share)
+        self._retry_budget = RetryBudget(
+            settings.retry_bounds, retry_shares.get_share, trio.current_time()
+        )
         findings = FleetFindings(self._fleet)
         self._store_cache = StoreCache(
             FOLLOWED_KINDS,
@@ -175,6 +177,7 @@
             self._store_cache,
             events,
             self._random,
+            self._retry_budget.note_new_vm,
         )
         self._source_controller = SourceController(
             settings,
--- a/libs/entry/src/zinnia_entry/registration.py
+++ b/libs/entry/src/zinnia_entry/registration.py
@@ -1,5 +1,6 @@
 """Registers this VM in the store, and keeps the list of the registered VMs up to date."""
 
+from collections.abc import Callable
 from random import Random
 
 import trio
@@ -35,6 +36,8 @@
         Receives their changes.
     store_cache : StoreCache
         Knows the era of the store: a restored store may have lost registrations.
+    note_new_vm : Callable[[], None]
+        Called if this VM has never been registered when it starts.
     """
 
     def __init__(
@@ -46,6 +49,7 @@
         store_cache: StoreCache,
         events: EventSink,
         random: Random,
+        note_new_vm: Callable[[], None],
     ) -> None:
         self._own = own
         self._store = store
@@ -54,6 +58,7 @@
         self._store_cache = store_cache
         self._events = events
         self._random = random
+        self._note_new_vm = note_new_vm
         self._registered_era: int | None = None
 
     async def run(self) -> None:
@@ -81,8 +86,13 @@
         if listing.era == self._registered_era:
             return
         if not self._is_listed(listing):
-            await self._store.create(ObjectKind.MEMBERS, self._own.vm, self._own.write())
+            await self._register()
         self._registered_era = listing.era
 
+    async def _register(self) -> None:
+        is_new = await self._store.create(ObjectKind.MEMBERS, self._own.vm, self._own.write())
+        if is_new and self._registered_era is None:
+            self._note_new_vm()
+
     def _is_listed(self, listing: Listing) -> bool:
         return any(item.name == self._own.vm for item in listing.objects)
--- a/libs/entry/tests/fakes.py
+++ b/libs/entry/tests/fakes.py
@@ -43,6 +43,7 @@
 
     async def create(self, kind, name, spec):
         self.calls.append(("create", name))
+        return True
 
     async def delete(self, kind, name):
         self.calls.append(("delete", name))
--- a/libs/entry/tests/test_registration.py
+++ b/libs/entry/tests/test_registration.py
@@ -22,6 +22,8 @@
         super().__init__()
         self.era = 1
         self.names = ["vm-2"]
+        # Registered, but missing in stale listings.
+        self.unlisted = []
         self.error = None
 
     async def list(self, kind, allow_stale=False):
@@ -34,6 +36,7 @@
     async def create(self, kind, name, spec):
         await super().create(kind, name, spec)
         self.names.append(name)
+        return name not in self.unlisted
 
 
 class FakeCatalog:
@@ -46,8 +49,14 @@
 
 
 class RegistrationTest(unittest.TestCase):
-    def run_registration(self, act, seconds):
+    def run_registration(self, act, seconds, listed=(), unlisted=()):
         self.store, self.catalog, self.events = MembersStore(), FakeCatalog(), RecordingSink()
+        self.store.names += listed
+        self.store.unlisted += unlisted
+        self.notes_of_new_vm = 0
+
+        def note_new_vm():
+            self.notes_of_new_vm += 1
 
         async def main():
             store_cache = StoreCache((ObjectKind.CONFIGURATION,), lambda *_: None)
@@ -60,6 +69,7 @@
                 store_cache,
                 self.events,
                 Random(1),
+                note_new_vm,
             )
             with trio.move_on_after(seconds):
                 async with trio.open_nursery() as nursery:
@@ -80,6 +90,15 @@
         self.assertEqual(1, self.count_registrations())
         self.assertIn("vm-2", self.catalog.members)
 
+    def test_vm_is_new_only_if_it_was_never_registered(self):
+        """Guards against a process that takes a share which the one before it has used up."""
+        self.run_registration(self.do_nothing, 1.0)
+        self.assertEqual(1, self.notes_of_new_vm)
+        self.run_registration(self.do_nothing, 1.0, listed=["vm-1"])
+        self.assertEqual(0, self.notes_of_new_vm)
+        self.run_registration(self.do_nothing, 1.0, unlisted=["vm-1"])
+        self.assertEqual(0, self.notes_of_new_vm)
+
     def test_vm_registers_again_after_the_store_was_restored(self):
         """Load pattern: the copy is from before VMs have registered.
 
@@ -94,6 +113,7 @@
         self.run_registration(restore, 4.0 + 2.5 * FIRST_MEMBERS_INTERVAL_S)
         self.assertEqual(2, self.count_registrations())
         self.assertEqual(["vm-1"], self.store.names)
+        self.assertEqual(1, self.notes_of_new_vm)
 
     def test_stale_listing_of_the_era_before_does_not_count(self):
         """Load pattern: a stale read right after the restoration still has the registration."""
--- a/libs/sending/src/zinnia_sending/budgets.py
+++ b/libs/sending/src/zinnia_sending/budgets.py
@@ -8,6 +8,10 @@
 # Fraction of a limit on all VMs that the known VMs use together; the rest is for VMs that are not
 # known yet.
 USED_BOUND_FRACTION = 0.8
+# Fraction of its share of the slack that a new VM uses in its first window, in which other VMs may
+# not know it yet. As many VMs as there are may join at once: half a share of each fits into the
+# part of the limit that is not used.
+NEW_VM_FRACTION = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,19 +81,36 @@
     Extra sends are counted over a sliding window, so that a VM that has sent few requests for a
     service can still use its whole share when many answers are lost at once.
 
+    An earlier process of this VM may have used up its share of the slack just before it ended. So
+    a process uses none of the slack in its first window, only what its own requests add, unless
+    ``note_new_vm`` says that there was no earlier process.
+
     Parameters
     ----------
     bounds : RetryBounds
         The limit on the extra sends of all VMs.
     get_share : Callable[[ServiceName], float]
         Returns the fraction (0 to 1) of the slack of a service that this VM may use.
+    started_at : float
+        Start of this process, in monotonic seconds.
     """
 
-    def __init__(self, bounds: RetryBounds, get_share: Callable[[ServiceName], float]) -> None:
+    def __init__(
+        self,
+        bounds: RetryBounds,
+        get_share: Callable[[ServiceName], float],
+        started_at: float,
+    ) -> None:
         self.bounds = bounds
         self._get_share = get_share
+        self._started_at = started_at
+        self._first_window_fraction = 0.0
         self._windows: dict[ServiceName, _SendWindow] = {}
 
+    def note_new_vm(self) -> None:
+        """Use part of the slack from the start, as no earlier process has used any."""
+        self._first_window_fraction = NEW_VM_FRACTION
+
     def count_request(self, service: ServiceName, now: float) -> None:
         """Count one request for a service."""
         self._advance(service, now).count_request()
@@ -110,6 +131,8 @@
         """Return what this VM has used of its share in the window that ends now."""
         window = self._advance(service, now)
         slack = self.bounds.slack * self._get_share(service)
+        if now < self._started_at + self.bounds.window_s:
+            slack *= self._first_window_fraction
         allowed = USED_BOUND_FRACTION * (slack + self.bounds.ratio * window.requests)
         return WindowUse(window.requests, len(window.extra_sends), allowed)
 
--- a/libs/sending/tests/fakes.py
+++ b/libs/sending/tests/fakes.py
@@ -1,3 +1,4 @@
+from math import inf
 from random import Random
 
 import trio
@@ -131,7 +132,7 @@
         self.delegator = delegator
         self.fleet = fleet
         self.script = script
-        self.budget = RetryBudget(RetryBounds(ratio, slack, 10.0), lambda service: 1.0)
+        self.budget = RetryBudget(RetryBounds(ratio, slack, 10.0), lambda service: 1.0, -inf)
         self.latency = LatencyHistogram(0.01)
         self.latency.hedge_s = hedge_s
         self.sender = None
--- a/libs/sending/tests/test_budgets.py
+++ b/libs/sending/tests/test_budgets.py
@@ -10,6 +10,12 @@
 RATIO = 0.2
 WINDOW_S = 10.0
 VMS = 6
+# A process that has run for longer than the window.
+STARTED_AT = -WINDOW_S
+
+
+def make_budget(bounds, share, started_at=STARTED_AT):
+    return RetryBudget(bounds, lambda service: share, started_at)
 
 
 def try_spend(budget, service, now, reserve=0.0):
@@ -30,7 +36,7 @@
 
         Guards against extra sends beyond the limit over all VMs in any window.
         """
-        budget = RetryBudget(RetryBounds(RATIO, SLACK, WINDOW_S), lambda service: 1 / vms)
+        budget = make_budget(RetryBounds(RATIO, SLACK, WINDOW_S), 1 / vms)
         now = 0.0
         requests, extra = [], []
         for is_request, gap_s in sequence:
@@ -46,13 +52,78 @@
             ]
             self.assertLessEqual(vms * within[0], SLACK + RATIO * vms * within[1])
 
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from(["request", "retry", "retry", "restart"]), st.floats(0, 1.0)),
+            max_size=300,
+        )
+    )
+    def test_extra_sends_stay_within_the_limit_while_vms_start_again(self, sequence):
+        """Load pattern: replicas shed most requests, and all VMs are killed again and again.
+
+        Guards against each new process using the share that its VM has used up already.
+        """
+        bounds = RetryBounds(RATIO, SLACK, WINDOW_S)
+        budget = make_budget(bounds, 1 / VMS)
+        now = 0.0
+        requests, extra = [], []
+        for event, gap_s in sequence:
+            now += gap_s
+            if event == "restart":
+                budget = make_budget(bounds, 1 / VMS, now)
+            elif event == "request":
+                budget.count_request("s", now)
+                requests.append(now)
+            elif try_spend(budget, "s", now):
+                extra.append(now)
+        for end in extra:
+            within = [
+                sum(end - WINDOW_S <= at <= end for at in times) for times in (extra, requests)
+            ]
+            self.assertLessEqual(VMS * within[0], SLACK + RATIO * VMS * within[1])
+
+    def test_process_that_starts_again_has_no_second_share_of_the_slack(self):
+        """Guards against one share of the slack for each process of a VM within a window."""
+        bounds = RetryBounds(RATIO, SLACK, WINDOW_S)
+        sends = 0
+        for started_at in (STARTED_AT, 1.0, 2.0, 3.0):
+            budget = make_budget(bounds, 1 / VMS, started_at)
+            while try_spend(budget, "s", max(started_at, 0.0)):
+                sends += 1
+        self.assertLessEqual(VMS * sends, SLACK)
+        self.assertTrue(try_spend(budget, "s", 3.0 + WINDOW_S))
+
+    def test_vms_that_join_at_once_stay_within_the_limit_with_the_others(self):
+        """Load pattern: the tier doubles, and the others do not know the new VMs yet.
+
+        Guards against a whole share of each new VM beside the undiminished shares of the others.
+        """
+        bounds = RetryBounds(RATIO, SLACK, WINDOW_S)
+        sends = 0
+        for vms, started_at in [(VMS, STARTED_AT)] * VMS + [(2 * VMS, 0.0)] * VMS:
+            budget = make_budget(bounds, 1 / vms, started_at)
+            if started_at == 0.0:
+                budget.note_new_vm()
+            before = sends
+            while try_spend(budget, "s", 0.0):
+                sends += 1
+            self.assertGreater(sends, before)
+        self.assertLessEqual(sends, SLACK)
+
+    def test_process_that_starts_again_can_still_retry_part_of_its_requests(self):
+        """Guards against callers that lose answers because a VM has just started."""
+        budget = make_budget(RetryBounds(RATIO, SLACK, WINDOW_S), 1 / VMS, 0.0)
+        for number in range(20):
+            budget.count_request("s", number * 0.1)
+        self.assertTrue(try_spend(budget, "s", 2.0))
+
     def test_vm_with_few_requests_can_hedge_and_still_retry(self):
         """Load pattern: fan-outs over 90 shards on 72 VMs, 0.3 requests a second for each shard.
 
         A tenth of the requests is hedged; then half of the replicas reset all answers for 4 s.
         Guards against hedges that use up the retries of a VM far below the limit over all VMs.
         """
-        budget = RetryBudget(RetryBounds(RATIO, 184.0, WINDOW_S), lambda service: 1 / 72)
+        budget = make_budget(RetryBounds(RATIO, 184.0, WINDOW_S), 1 / 72)
         hedges = 0
         for number in range(100):
             now = number / 0.3
@@ -64,7 +135,7 @@
 
     def test_share_below_one_send_is_not_rounded_up(self):
         """Guards against one extra send by each VM of a tier that has more VMs than slack."""
-        budget = RetryBudget(RetryBounds(RATIO, SLACK, WINDOW_S), lambda service: 1 / 100)
+        budget = make_budget(RetryBounds(RATIO, SLACK, WINDOW_S), 1 / 100)
         self.assertFalse(try_spend(budget, "s", 0.0))
         for number in range(4):
             budget.count_request("s", number * 0.1)
@@ -72,14 +143,14 @@
 
     def test_hedges_leave_a_reserve_for_retries(self):
         """Guards against hedges that use up the budget for retries after failures."""
-        budget = RetryBudget(RetryBounds(RATIO, SLACK, WINDOW_S), lambda service: 1 / VMS)
+        budget = make_budget(RetryBounds(RATIO, SLACK, WINDOW_S), 1 / VMS)
         while try_spend(budget, "s", 0.0, reserve=0.25):
             pass
         self.assertTrue(try_spend(budget, "s", 0.0))
 
     def test_each_service_has_its_own_budget(self):
         """Guards against one slow shard that uses up the hedges of all others."""
-        budget = RetryBudget(RetryBounds(RATIO, SLACK, WINDOW_S), lambda service: 1 / VMS)
+        budget = make_budget(RetryBounds(RATIO, SLACK, WINDOW_S), 1 / VMS)
         while try_spend(budget, "a", 0.0):
             pass
         self.assertTrue(try_spend(budget, "b", 0.0))
--- a/libs/sending/tests/test_crashing.py
+++ b/libs/sending/tests/test_crashing.py
@@ -1,4 +1,5 @@
 import unittest
+from math import inf
 from types import SimpleNamespace
 
 import trio
@@ -52,7 +53,7 @@
 
     def __init__(self, nursery, entries, services, have_answered=True):
         self.fleet = make_fleet(*entries, services=services)
-        self.budget = RetryBudget(RetryBounds(0.2, 1000.0, 10.0), lambda service: 1.0)
+        self.budget = RetryBudget(RetryBounds(0.2, 1000.0, 10.0), lambda service: 1.0, -inf)
         self.sender = RecordingSender(nursery, {}, self.fleet)
         self.start_replicas(entries, have_answered)
         self._attempts = 0
--- a/libs/sending/tests/test_subqueries.py
+++ b/libs/sending/tests/test_subqueries.py
@@ -1,4 +1,5 @@
 import unittest
+from math import inf
 
 import trio
 from fakes import (
@@ -77,7 +78,7 @@
                 for replica in replicas
             }
             script.update(change or {})
-            budget = RetryBudget(RetryBounds(0.2, 50.0, 10.0), lambda service: 1.0)
+            budget = RetryBudget(RetryBounds(0.2, 50.0, 10.0), lambda service: 1.0, -inf)
             latency = LatencyHistogram(0.01)
             now = trio.current_time()
 
--- a/programs/measure/src/zinnia_measure/entry_cost.py
+++ b/programs/measure/src/zinnia_measure/entry_cost.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 import trio
@@ -134,7 +135,7 @@
             0.95,
         )
         self._latency = LatencyHistogram(LIMIT_S)
-        self._budget = RetryBudget(RetryBounds(0.2, 50.0, 10.0), lambda service: 1.0)
+        self._budget = RetryBudget(RetryBounds(0.2, 50.0, 10.0), lambda service: 1.0, -inf)
         self._sender = Dispatcher(nursery, self._fleet, PlainProtocol(), NullCounters(), NullSink())
 
     async def send(self) -> None:
