Charge the retry budget for requests that reached another replica

Cause: a replica that isn't the one a request is for answers 421. The request then counted as not sent, so that the next send was a first one: free, and as often as there are replicas left. But it has arrived, and arrivals that a replica rejects count.

Change: the number of attempts still leaves it out, as the request can't have run. Whether a send is extra now depends on what may have arrived. A VM that runs shards for another one says for which of its failures a send has reached a replica that it was not for.

Tests: replicas that all answer 421 got 10 retries of 5 requests with a budget of 2, now 2; the requests beyond are refused, not run. Sends that reached no replica stay free.

--- a/libs/delegation/src/zinnia_delegation/links.py
+++ b/libs/delegation/src/zinnia_delegation/links.py
@@ -232,10 +232,13 @@
     services = delegation.assignment.services
     signatures = zip(reply.shards, reply.signatures, strict=True)
     failures = zip(reply.failed, reply.failed_sends, strict=True)
-    crashed = set(reply.crashed)
+    crashed, misdirected = set(reply.crashed), set(reply.misdirected)
     return PartialResult(
         tuple((services[index], signature) for index, signature in signatures),
         reply.records,
-        tuple(ShardFailure(services[index], sends, index in crashed) for index, sends in failures),
+        tuple(
+            ShardFailure(services[index], sends, index in crashed, index in misdirected)
+            for index, sends in failures
+        ),
         tuple(decode_departures(reply.departures)),
     )
--- a/libs/delegation/src/zinnia_delegation/messages.py
+++ b/libs/delegation/src/zinnia_delegation/messages.py
@@ -125,7 +125,8 @@
     """One frame to the VM that delegates. ``kind`` is the value of a ``ReplyKind``.
 
     ``shards`` and ``failed`` are indexes into the ``services`` of the start; ``crashed`` are those
-    of ``failed`` where a replica crashed. After a refusal, no delegations are to be sent for
+    of ``failed`` where a replica crashed, and ``misdirected`` those where a send has reached a
+    replica that it was not for. After a refusal, no delegations are to be sent for
     ``hold_ms``. ``departures`` lists replicas that leave.
     """
 
@@ -142,6 +143,7 @@
         (9, TType.I32, "hold_ms", None, None),
         (10, TType.LIST, "departures", DEPARTURE_LIST, None),
         (11, TType.LIST, "crashed", (TType.I32, None, False), None),
+        (12, TType.LIST, "misdirected", (TType.I32, None, False), None),
     )
 
     def __init__(
@@ -157,6 +159,7 @@
         hold_ms: int = 0,
         departures: list[DepartureRecord] | None = None,
         crashed: list[int] | None = None,
+        misdirected: list[int] | None = None,
     ) -> None:
         self.id = id
         self.kind = kind
@@ -169,3 +172,4 @@
         self.hold_ms = hold_ms
         self.departures = departures or []
         self.crashed = crashed or []
+        self.misdirected = misdirected or []
--- a/libs/delegation/src/zinnia_delegation/server.py
+++ b/libs/delegation/src/zinnia_delegation/server.py
@@ -188,6 +188,7 @@
             is_last,
             departures=encode_departures(result.departures),
             crashed=[indexes[item.service] for item in result.failures if item.has_crashed],
+            misdirected=[indexes[item.service] for item in result.failures if item.has_misdirected],
         )
         self._outbox.put(encode(reply))
 
--- a/libs/delegation/tests/test_links.py
+++ b/libs/delegation/tests/test_links.py
@@ -144,7 +144,9 @@
     def test_result_is_returned_unchanged(self):
         """Guards against encoding that confuses shards or changes their records."""
         result = PartialResult(
-            (("s2", b"sig2"), ("s0", b"\xff\x00")), b"\x00\xfe" * 8, (ShardFailure("s1", 2),)
+            (("s2", b"sig2"), ("s0", b"\xff\x00")),
+            b"\x00\xfe" * 8,
+            (ShardFailure("s1", 2, has_misdirected=True),),
         )
 
         async def test(link, handler, server, streams):
--- a/libs/sending/src/zinnia_sending/attempts.py
+++ b/libs/sending/src/zinnia_sending/attempts.py
@@ -63,9 +63,10 @@
     """State of one shard of a request.
 
     ``tried`` lists the ids of the replicas that got an attempt, and ``in_flight`` the attempts that
-    have not ended. ``sends`` counts the attempts that may have reached a replica; ``may_have_run``
-    is set once one of them may have run. The shard is settled when it has an answer or gets no more
-    attempts.
+    have not ended. ``sends`` counts the attempts that may have reached the replica that they were
+    for; ``may_have_run`` is set once one of them may have run. ``has_misdirected`` is set once an
+    attempt has reached another replica, which refused it. The shard is settled when it has an
+    answer or gets no more attempts.
 
     ``has_crashed`` is set once a replica has ended an attempt without an answer. While ``is_held``,
     a retry waits until another shard has an answer; ``is_probe`` is set if it may go ahead.
@@ -83,6 +84,7 @@
     failure: ReplicaAnswer | None = None
     is_settled: bool = False
     may_have_run: bool = False
+    has_misdirected: bool = False
     is_hedged: bool = False
     has_crashed: bool = False
     is_held: bool = False
@@ -91,6 +93,11 @@
     permitted_sends: int = 1
     wanted: WantedSend | None = None
 
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether an attempt may have reached any replica, so that the next one is extra."""
+        return self.sends > 0 or self.has_misdirected
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
--- a/libs/sending/src/zinnia_sending/delegation.py
+++ b/libs/sending/src/zinnia_sending/delegation.py
@@ -35,12 +35,13 @@
 class ShardFailure:
     """A shard that another VM has no answer for, with the number of sends that it made.
 
-    ``has_crashed`` is as in ``ShardProgress``.
+    ``has_crashed`` and ``has_misdirected`` are as in ``ShardProgress``.
     """
 
     service: ServiceName
     sends: int
     has_crashed: bool = False
+    has_misdirected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/sending/src/zinnia_sending/runs.py
+++ b/libs/sending/src/zinnia_sending/runs.py
@@ -141,6 +141,7 @@
             shard = delegation.shards[failure.service]
             if not shard.is_settled:
                 shard.sends = failure.sends
+                shard.has_misdirected = shard.has_misdirected or failure.has_misdirected
                 self._run_locally(shard)
         self._probe_held()
 
@@ -192,7 +193,11 @@
         """Send a request from this VM for a shard that another VM has no answer for."""
         shard.is_delegated = False
         shard.may_have_run = shard.may_have_run or shard.sends > 0
-        reason = SendReason.RETRY_DELEGATED if shard.sends else SendReason.FIRST
+        reason = SendReason.FIRST
+        if shard.sends:
+            reason = SendReason.RETRY_DELEGATED
+        elif shard.has_misdirected:
+            reason = SendReason.RETRY_WRONG_REPLICA
         is_late = trio.current_time() >= self._end_at
         if is_late or not self._send_again(shard, reason, False):
             self._settle_shard(shard)
--- a/libs/sending/src/zinnia_sending/shards.py
+++ b/libs/sending/src/zinnia_sending/shards.py
@@ -113,6 +113,8 @@
             return
         if exchange.result in UNDELIVERED_RESULTS:
             shard.sends -= 1
+        if exchange.result is ExchangeResult.WRONG_REPLICA:
+            shard.has_misdirected = True
         if not self._retry(shard, attempt, exchange.result):
             self._settle_if_idle(shard)
         self._probe_held()
@@ -203,12 +205,13 @@
         if replica is None:
             return False
         reserve = HEDGE_RESERVE_FRACTION if reason is SendReason.HEDGE else 0.0
-        if shard.sends and not self._budget.allows_send(shard.service, now, reserve):
+        is_extra = shard.may_have_arrived
+        if is_extra and not self._budget.allows_send(shard.service, now, reserve):
             self._note("budget_spent", service=shard.service, reason=reason.value)
             return False
         if self._waits_for_permission(shard, WantedSend(reason, may_repeat)):
             return True
-        if shard.sends:
+        if is_extra:
             self._budget.spend(shard.service, now)
         self._note("sent", service=shard.service, replica=replica.id, reason=reason.value)
         self._send(shard, replica, reason, now)
--- a/libs/sending/src/zinnia_sending/subqueries.py
+++ b/libs/sending/src/zinnia_sending/subqueries.py
@@ -168,7 +168,7 @@
         )
         signatures = tuple((shard.service, shard.answer.signature) for shard in answered)
         failures = tuple(
-            ShardFailure(shard.service, shard.sends, shard.has_crashed)
+            ShardFailure(shard.service, shard.sends, shard.has_crashed, shard.has_misdirected)
             for shard in shards
             if shard.answer is None
         )
--- a/libs/sending/tests/test_delegation.py
+++ b/libs/sending/tests/test_delegation.py
@@ -103,6 +103,24 @@
         _, _, outcome = self.run_delegated(act_as_peer, slack=0.0)
         self.assertIs(RunVerdict.FAILED, outcome.verdict)
 
+    def test_shards_that_another_vm_has_misdirected_draw_on_the_retry_budget(self):
+        """Load pattern: replicas are replaced, and others get their addresses.
+
+        Guards against a send of each of two VMs that counts as the first.
+        """
+
+        async def act_as_peer(delegation, nursery):
+            failures = [ShardFailure(name, 0, has_misdirected=True) for name in SHARDS[5:]]
+            delegation.handle_result(make_result([], failures=failures))
+
+        harness, _, outcome = self.run_delegated(act_as_peer)
+        self.assertIs(RunVerdict.COMPLETE, outcome.verdict)
+        reasons = [reason for _, reason in harness.sender.sent]
+        self.assertEqual(15, reasons.count(SendReason.RETRY_WRONG_REPLICA))
+        harness, _, outcome = self.run_delegated(act_as_peer, slack=0.0)
+        self.assertEqual({SendReason.FIRST}, {reason for _, reason in harness.sender.sent})
+        self.assertEqual(5, len(harness.sender.sent))
+
     def test_permitted_sends_of_a_lost_vm_count(self):
         """Guards against more sends to a shard than the route allows."""
 
--- a/libs/sending/tests/test_runs.py
+++ b/libs/sending/tests/test_runs.py
@@ -197,6 +197,44 @@
 
         self.assertEqual(1, run_trio(main))
 
+    def test_retries_after_refusals_by_other_replicas_draw_on_the_retry_budget(self):
+        """Load pattern: all replicas are replaced, and others get their addresses.
+
+        Guards against requests that reach one replica after the other, paid for by nothing.
+        """
+
+        async def main():
+            fleet = make_fleet(*(make_entry(name) for name in "abc"))
+            script = {
+                name: [(0.01, make_unanswered(ExchangeResult.WRONG_REPLICA))] for name in "abc"
+            }
+            harness = RunHarness(fleet, script, slack=2.5, ratio=0.0)
+            retries, verdicts = 0, set()
+            for _ in range(5):
+                outcome = await harness.run(make_route(["s"], fanout=False), ["s"])
+                verdicts.add(outcome.verdict)
+                retries += len(harness.sender.sent) - 1
+            return retries, verdicts
+
+        retries, verdicts = run_trio(main)
+        self.assertEqual(2, retries)
+        self.assertEqual({RunVerdict.REJECTED}, verdicts)
+
+    def test_retries_of_unsent_requests_are_free(self):
+        """Load pattern: replicas accept no connections while the retry budget is spent.
+
+        Guards against callers that lose answers for sends that have reached no replica.
+        """
+        script = {name: [(0.01, make_unanswered(ExchangeResult.NOT_SENT))] for name in "ab"}
+        script["c"] = [FAST_ANSWER]
+
+        async def main():
+            fleet = make_fleet(*(make_entry(name) for name in "abc"))
+            harness = RunHarness(fleet, script, slack=0.0, ratio=0.0)
+            return await harness.run(make_route(["s"], fanout=False), ["s"])
+
+        self.assertIs(RunVerdict.COMPLETE, run_trio(main).verdict)
+
 
 class SingleRunTest(unittest.TestCase):
     def run_single(self, script, idempotent, replicas="ab", **options):
