Use none of the slack of the retry budget before the list of VMs is known

Found by reading, while looking for shares that are spent twice; not played.

Change: until its first listing a VM uses only what its own requests add. Before the change the new test got 1/72 for each VM where it asks for 0.

A VM that has listed the others before an outage keeps what it knows.

--- a/libs/entry/src/zinnia_entry/node.py
+++ b/libs/entry/src/zinnia_entry/node.py
@@ -157,7 +157,9 @@
             metrics,
         )
         self.catalog = Catalog(adapter.decoder, self._fleet, trio.current_time)
-        retry_shares = RetryShares(settings.vm, self.count_vms, runners)
+        retry_shares = RetryShares(
+            settings.vm, self.count_vms, runners, lambda: self._registration.has_listed
+        )
         self._retry_budget = RetryBudget(
             settings.retry_bounds, retry_shares.get_share, trio.current_time()
         )
--- a/libs/entry/src/zinnia_entry/registration.py
+++ b/libs/entry/src/zinnia_entry/registration.py
@@ -24,6 +24,8 @@
 class Registration:
     """Registers a VM once in each era of the store, and lists all registered VMs.
 
+    ``has_listed`` is set once they have been listed.
+
     Parameters
     ----------
     own : Member
@@ -60,6 +62,7 @@
         self._random = random
         self._note_new_vm = note_new_vm
         self._registered_era: int | None = None
+        self.has_listed = False
 
     async def run(self) -> None:
         """Register and list until cancelled."""
@@ -83,6 +86,7 @@
         self._store_cache.note_served()
         changes = self._members.replace(listing, trio.current_time())
         self._catalog.apply(ObjectKind.MEMBERS, changes, None)
+        self.has_listed = True
         if listing.era == self._registered_era:
             return
         if not self._is_listed(listing):
--- a/libs/entry/src/zinnia_entry/shares.py
+++ b/libs/entry/src/zinnia_entry/shares.py
@@ -83,6 +83,9 @@
     (``RetryBounds``). Few VMs run the parts of fan-outs: with equal shares for 72 VMs, these VMs
     could only send two retries per shard in ten seconds, however many answers are lost.
 
+    A VM that has not read the list of VMs since its start can't tell how small its share is, and
+    uses none of the slack.
+
     Parameters
     ----------
     own : VmName
@@ -91,15 +94,26 @@
         Returns the number of VMs that may send requests.
     runners : PartRunners
         Knows the VMs that run parts of fan-outs.
+    has_listed_vms : Callable[[], bool]
+        Returns whether this VM has read the list of VMs since its start.
     """
 
-    def __init__(self, own: VmName, count_vms: Callable[[], int], runners: PartRunners) -> None:
+    def __init__(
+        self,
+        own: VmName,
+        count_vms: Callable[[], int],
+        runners: PartRunners,
+        has_listed_vms: Callable[[], bool],
+    ) -> None:
         self._own = own
         self._count_vms = count_vms
         self._runners = runners
+        self._has_listed_vms = has_listed_vms
 
     def get_share(self, service: ServiceName) -> float:
         """Return the fraction of the slack of a service that this VM may use, 0 to 1."""
+        if not self._has_listed_vms():
+            return 0.0
         equal_share = 1.0 / max(1, self._count_vms())
         # A VM that is not registered yet may not know all other VMs, so it takes an equal share.
         is_registered = self._own in self._runners.get_members()
--- a/libs/entry/tests/test_registration.py
+++ b/libs/entry/tests/test_registration.py
@@ -61,7 +61,7 @@
         async def main():
             store_cache = StoreCache((ObjectKind.CONFIGURATION,), lambda *_: None)
             store_cache.apply_listing(ObjectKind.CONFIGURATION, Listing((), 3, 1))
-            registration = Registration(
+            registration = self.registration = Registration(
                 OWN,
                 self.store,
                 Collection(ObjectKind.MEMBERS),
@@ -89,6 +89,7 @@
         self.run_registration(self.do_nothing, 3 * MEMBERS_INTERVAL_S)
         self.assertEqual(1, self.count_registrations())
         self.assertIn("vm-2", self.catalog.members)
+        self.assertTrue(self.registration.has_listed)
 
     def test_vm_is_new_only_if_it_was_never_registered(self):
         """Guards against a process that takes a share which the one before it has used up."""
@@ -135,4 +136,5 @@
 
         self.run_registration(fail, 30.0)
         self.assertIn("members_unknown", self.events.list_events())
+        self.assertFalse(self.registration.has_listed)
         self.assertLess(len(self.store.calls), 8)
--- a/libs/entry/tests/test_shares.py
+++ b/libs/entry/tests/test_shares.py
@@ -25,7 +25,7 @@
 
 
 class RetrySharesTest(unittest.TestCase):
-    def get_shares(self, service, members=None, configuration=None):
+    def get_shares(self, service, members=None, configuration=None, has_listed=True):
         members = make_members() if members is None else members
         configuration = configuration or make_configuration()
         return [
@@ -33,6 +33,7 @@
                 f"vm-{number}",
                 lambda: VMS,
                 PartRunners(lambda: members, lambda: configuration, 48),
+                lambda: has_listed,
             ).get_share(service)
             for number in range(VMS)
         ]
@@ -63,3 +64,10 @@
         Guards against each VM taking the whole limit of a service.
         """
         self.assertEqual({1 / VMS}, set(self.get_shares("s3", members={})))
+
+    def test_vm_that_could_not_list_the_vms_uses_no_slack(self):
+        """Load pattern: 72 VMs start again together while the store is away for a minute.
+
+        Guards against a sixth of the limit for each, the number of VMs that is expected.
+        """
+        self.assertEqual({0.0}, set(self.get_shares("s3", members={}, has_listed=False)))
