Count extra sends until their requests are read, and leave fewer at a replica that stands still

Cause, two parts. (1) A hedge was charged when it was sent and forgotten a window later, though what it replaced arrives only when the replica goes on. (2) Attempts that are given up 0.25 s after another replica has answered were too short to count as unanswered where the usual tail is over 0.09 s, so the replica was never suspended; and each trial of a suspended one left one more request.

Change: an extra send whose attempt was given up without an answer counts until the replica answers a request that was sent to it later, 60 s at most, and for a window from then on. From the fourth request in a row without an answer each counts as a failure. A trial is left open after its request was answered, for 0.5 s, doubling to 24 s: while it waits no other one is sent, and its answer ends the suspension at once.

--- a/libs/sending/src/zinnia_sending/attempts.py
+++ b/libs/sending/src/zinnia_sending/attempts.py
@@ -68,6 +68,9 @@
     attempt has reached another replica, which refused it. The shard is settled when it has an
     answer or gets no more attempts.
 
+    ``spent_at`` lists the monotonic times of the sends that the retry budget counts, but for those
+    that may arrive later.
+
     ``has_crashed`` is set once a replica has ended an attempt without an answer. While ``is_held``,
     a retry waits until another shard has an answer; ``is_probe`` is set if it may go ahead.
 
@@ -85,6 +88,7 @@
     is_settled: bool = False
     may_have_run: bool = False
     has_misdirected: bool = False
+    spent_at: list[float] = field(default_factory=list)
     is_hedged: bool = False
     has_crashed: bool = False
     is_held: bool = False
@@ -103,8 +107,10 @@
 class Attempt:
     """One send of a request to one replica.
 
-    ``settle`` is called with the attempt and its exchange when the exchange has ended; ``scope`` is
-    the cancel scope of the task that runs the attempt.
+    ``is_trial`` is set if the replica was suspended, and ``is_kept`` once the attempt goes on
+    after its request was answered, to show whether the replica is back. ``settle`` is called with
+    the attempt and its exchange when the exchange has ended; ``scope`` is the cancel scope of the
+    task that runs the attempt.
     """
 
     shard: ShardProgress
@@ -114,6 +120,8 @@
     request: RunRequest
     settle: Any
     scope: Any = None
+    is_trial: bool = False
+    is_kept: bool = False
 
     def finish(self, exchange: Exchange) -> None:
         """Pass the result of the exchange to ``settle``."""
--- a/libs/sending/src/zinnia_sending/budgets.py
+++ b/libs/sending/src/zinnia_sending/budgets.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from zinnia_catalog.ids import ServiceName
+from zinnia_catalog.ids import ReplicaId, ServiceName
 
 # Fraction of a limit on all VMs that the known VMs use together; the rest is for VMs that are not
 # known yet.
@@ -12,6 +12,8 @@
 # not know it yet. As many VMs as there are may join at once: half a share of each fits into the
 # part of the limit that is not used.
 NEW_VM_FRACTION = 0.5
+# A send that no replica is known to have read for this long counts no longer.
+MAX_UNREAD_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,7 +21,7 @@
     """Limit on the extra sends (hedges and retries) to a service over all VMs.
 
     In any window of ``window_s`` seconds, at most ``slack`` extra sends plus ``ratio`` extra sends
-    per request for the service are allowed.
+    per request for the service may arrive.
     """
 
     ratio: float
@@ -27,13 +29,26 @@
     window_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _UnreadSend:
+    """A send to a replica that gave no sign of having read it; times are monotonic seconds."""
+
+    replica: ReplicaId
+    sent_at: float
+    given_up_at: float
+
+
 class _SendWindow:
-    """Requests and extra sends of this VM to one service in the sliding window."""
+    """Requests and extra sends of this VM to one service in the sliding window.
 
-    __slots__ = ("_half_ends_at", "_last_half", "_this_half", "extra_sends")
+    ``extra_sends`` has the times of the extra sends, ``unread`` those that may arrive later.
+    """
+
+    __slots__ = ("_half_ends_at", "_last_half", "_this_half", "extra_sends", "unread")
 
     def __init__(self) -> None:
         self.extra_sends: list[float] = []
+        self.unread: list[_UnreadSend] = []
         self._half_ends_at = 0.0
         self._this_half = 0
         self._last_half = 0
@@ -45,6 +60,8 @@
         """
         while self.extra_sends and self.extra_sends[0] <= now - window_s:
             del self.extra_sends[0]
+        while self.unread and self.unread[0].given_up_at <= now - MAX_UNREAD_S:
+            del self.unread[0]
         if now < self._half_ends_at:
             return
         half_s = window_s / 2
@@ -57,6 +74,15 @@
         """Count one request."""
         self._this_half += 1
 
+    def take_read(self, replica: ReplicaId, sent_before: float) -> int:
+        """Remove the unread sends to a replica up to a time, and return how many there were."""
+        kept = [
+            send for send in self.unread if send.replica != replica or send.sent_at > sent_before
+        ]
+        count = len(self.unread) - len(kept)
+        self.unread = kept
+        return count
+
     @property
     def requests(self) -> int:
         """Number of requests in the current and the previous half window."""
@@ -85,6 +111,10 @@
     a process uses none of the slack in its first window, only what its own requests add, unless
     ``note_new_vm`` says that there was no earlier process.
 
+    A replica that stands still takes bytes without reading them, and what was sent in a long time
+    then arrives at once. So an extra send of a request of which no sign shows that it was read
+    counts until there is one, and for a whole window from then on.
+
     Parameters
     ----------
     bounds : RetryBounds
@@ -119,6 +149,27 @@
         """Count an extra send that the budget allows."""
         self._advance(service, now).extra_sends.append(now)
 
+    def record_unread(
+        self, service: ServiceName, replica: ReplicaId, sent_at: float, spent_at: float, now: float
+    ) -> None:
+        """Keep counting the extra send of ``spent_at`` until a replica has read its request.
+
+        The replica got the request at ``sent_at``, and may not have read it when it was given up.
+        """
+        window = self._advance(service, now)
+        if spent_at in window.extra_sends:
+            window.extra_sends.remove(spent_at)
+        window.unread.append(_UnreadSend(replica, sent_at, now))
+
+    def record_read(
+        self, service: ServiceName, replica: ReplicaId, sent_at: float, now: float
+    ) -> None:
+        """Record that a replica has read what was sent to it until ``sent_at``."""
+        window = self._windows.get(service)
+        if window is not None and window.unread:
+            count = window.take_read(replica, sent_at)
+            window.extra_sends.extend([now] * count)
+
     def allows_send(self, service: ServiceName, now: float, reserve: float = 0.0) -> bool:
         """Return whether the budget allows an extra send.
 
@@ -134,7 +185,8 @@
         if now < self._started_at + self.bounds.window_s:
             slack *= self._first_window_fraction
         allowed = USED_BOUND_FRACTION * (slack + self.bounds.ratio * window.requests)
-        return WindowUse(window.requests, len(window.extra_sends), allowed)
+        extra_sends = len(window.extra_sends) + len(window.unread)
+        return WindowUse(window.requests, extra_sends, allowed)
 
     def list_services(self) -> list[ServiceName]:
         """Return the services that had requests or extra sends since the start."""
--- a/libs/sending/src/zinnia_sending/dispatcher.py
+++ b/libs/sending/src/zinnia_sending/dispatcher.py
@@ -7,6 +7,7 @@
 from zinnia_sending.counters import SendCounters
 from zinnia_sending.events import EventSink
 from zinnia_sending.fleet import Fleet
+from zinnia_sending.health import Condition
 from zinnia_sending.limits import MAX_ANSWER_BYTES, MAX_PART_BYTES, AnswerLimits, AnswerMemory
 from zinnia_sending.protocol import ReplicaProtocol
 from zinnia_sending.replica import Replica
@@ -51,10 +52,10 @@
 
     def start(self, attempt: Attempt) -> None:
         """Start an attempt; its ``finish`` is called when the exchange has ended."""
+        now = trio.current_time()
         typical_latency_s = attempt.request.latency.median_s
-        self._fleet.record_send(
-            attempt.replica, id(attempt), typical_latency_s, trio.current_time()
-        )
+        attempt.is_trial = attempt.replica.health.get_condition(now) is Condition.TRIAL_DUE
+        self._fleet.record_send(attempt.replica, id(attempt), typical_latency_s, now)
         self._counters.count_send(attempt.reason)
         attempt.scope = trio.CancelScope(deadline=attempt.request.end_at)
         self._nursery.start_soon(self._run_attempt, attempt)
@@ -64,9 +65,16 @@
         attempt.scope.cancel()
 
     def abandon(self, attempt: Attempt) -> None:
-        """Cancel an attempt unless it finishes within ``ABANDONED_ATTEMPT_TIMEOUT_S``."""
-        latest = trio.current_time() + ABANDONED_ATTEMPT_TIMEOUT_S
-        attempt.scope.deadline = min(attempt.scope.deadline, latest)
+        """Cancel an attempt unless it finishes within ``ABANDONED_ATTEMPT_TIMEOUT_S``.
+
+        A trial goes on for longer, also beyond the deadline of its request.
+        """
+        now = trio.current_time()
+        if attempt.is_trial:
+            attempt.is_kept = True
+            attempt.scope.deadline = now + attempt.replica.health.trial_patience_s
+            return
+        attempt.scope.deadline = min(attempt.scope.deadline, now + ABANDONED_ATTEMPT_TIMEOUT_S)
 
     async def _run_attempt(self, attempt: Attempt) -> None:
         exchange = None
@@ -105,7 +113,9 @@
             self._fleet.record_rate_limit(replica, exchange.rate_limit_per_s)
         self._fleet.crashes.record_exchange(attempt, exchange)
         result = exchange.result
-        if result is ExchangeResult.ANSWERED:
+        if attempt.is_kept and exchange.duration_s > MIN_NO_ANSWER_S:
+            self._record_kept_trial(attempt, exchange, now)
+        elif result is ExchangeResult.ANSWERED:
             latency.record(exchange.duration_s)
             replica.health.record_answer(slowness, now)
             self._record_version(attempt, None, slowness)
@@ -118,6 +128,21 @@
         elif exchange.fault is not AnswerFault.MEMORY_FULL:
             self._record_failure(attempt, exchange.cause, now)
 
+    def _record_kept_trial(self, attempt: Attempt, exchange: Exchange, now: float) -> None:
+        """Record whether a trial that its request no longer needed showed that a replica is back.
+
+        How long it took says nothing about the next request.
+        """
+        health = attempt.replica.health
+        if exchange.result is ExchangeResult.CANCELLED:
+            attempt.replica.pool.discard_idle(attempt.started_at)
+            self._record_failure(attempt, "no answer", now)
+            health.record_silent_trial(now)
+        elif exchange.result in (ExchangeResult.ANSWERED, ExchangeResult.NOT_RUN):
+            health.record_return()
+        elif exchange.result is not ExchangeResult.WRONG_REPLICA:
+            self._record_failure(attempt, exchange.cause, now)
+
     def _record_fault(self, replica: Replica, exchange: Exchange) -> None:
         self._counters.count_fault(exchange.fault)
         self._events.note(
@@ -131,18 +156,25 @@
     def _record_cancelled(
         self, attempt: Attempt, exchange: Exchange, slowness: float, now: float
     ) -> None:
-        latency = attempt.request.latency
-        attempt.replica.health.record_unfinished(slowness, now)
-        if exchange.duration_s < max(MIN_NO_ANSWER_S, NO_ANSWER_TAIL_FACTOR * latency.tail_s):
-            return
-        attempt.replica.pool.discard_idle(attempt.started_at)
-        self._record_failure(attempt, "no answer", now)
+        latency, health = attempt.request.latency, attempt.replica.health
+        health.record_unfinished(slowness, now)
+        if exchange.duration_s < ABANDONED_ATTEMPT_TIMEOUT_S:
+            return  # It was not given the time to answer.
+        is_silent = health.record_silence()
+        if exchange.duration_s >= max(MIN_NO_ANSWER_S, NO_ANSWER_TAIL_FACTOR * latency.tail_s):
+            attempt.replica.pool.discard_idle(attempt.started_at)
+            self._record_failure(attempt, "no answer", now)
+        elif is_silent:
+            self._count_failure(attempt.replica, "no answer in several requests", now)
 
     def _record_failure(self, attempt: Attempt, cause: str, now: float) -> None:
         replica = attempt.replica
         if replica.availability.find_refusal(now) is not None:
             return  # It gets nothing anyway; what fails now says nothing about its version.
         self._record_version(attempt, cause, 1.0)
+        self._count_failure(replica, cause, now)
+
+    def _count_failure(self, replica: Replica, cause: str, now: float) -> None:
         if replica.health.record_failure(now):
             self._events.note(
                 "replica_suspended",
--- a/libs/sending/src/zinnia_sending/health.py
+++ b/libs/sending/src/zinnia_sending/health.py
@@ -16,8 +16,16 @@
 MIN_REPORTED_SILENCE_S = 0.4
 # After this many consecutive failures a replica gets only single trial requests.
 FAILURES_TO_SUSPEND = 2
+# From the last of so many consecutive requests on that were given up without an answer, each counts
+# as a failure, however short the wait was.
+SILENCES_TO_FAIL = 4
 FIRST_SUSPENSION_S = 0.4
 MAX_SUSPENSION_S = 3.0
+# A trial request is left open for this long after its caller has the answer of another replica, and
+# twice as long after each trial without an answer, so that few requests wait at a replica that
+# stands still, and its first answer ends the suspension.
+FIRST_TRIAL_PATIENCE_S = 0.5
+MAX_TRIAL_PATIENCE_S = 24.0
 
 
 class Condition(Enum):
@@ -42,9 +50,11 @@
         "_reported_at",
         "_reported_slowness",
         "_sampled_at",
+        "_silences",
         "_slowness",
         "_suspended_until",
         "_suspension_s",
+        "trial_patience_s",
     )
 
     def __init__(self, now: float) -> None:
@@ -55,8 +65,10 @@
         self._reported_slowness = 1.0
         self._reported_at = 0.0
         self._failures = 0
+        self._silences = 0
         self._suspended_until = 0.0
         self._suspension_s = FIRST_SUSPENSION_S
+        self.trial_patience_s = FIRST_TRIAL_PATIENCE_S
 
     @property
     def outstanding(self) -> int:
@@ -129,6 +141,7 @@
 
     def record_rejection(self, now: float) -> None:
         """Record that the replica did not run a request."""
+        self._silences = 0
         self._sample(None, 1.0, now)
 
     def record_unfinished(self, slowness: float, now: float) -> None:
@@ -139,6 +152,23 @@
         if slowness > self._decay_slowness(now):
             self._sample(min(slowness, MAX_SLOWNESS), None, now)
 
+    def record_silence(self) -> bool:
+        """Record a request given up without an answer; return whether that is a failure."""
+        self._silences += 1
+        return self._silences >= SILENCES_TO_FAIL
+
+    def record_silent_trial(self, now: float) -> None:
+        """Record that a trial stayed without an answer; the next one may follow, and lasts longer.
+
+        The time that the trial was left open took the place of the suspension.
+        """
+        self._suspended_until = now
+        self.trial_patience_s = min(MAX_TRIAL_PATIENCE_S, self.trial_patience_s * 2)
+
+    def record_return(self) -> None:
+        """Record an answer that came long after its request was given up."""
+        self._clear_failures()
+
     def record_failure(self, now: float) -> bool:
         """Record a failure; return whether it suspended the replica."""
         self._failures += 1
@@ -150,7 +180,9 @@
 
     def _clear_failures(self) -> None:
         self._failures = 0
+        self._silences = 0
         self._suspension_s = FIRST_SUSPENSION_S
+        self.trial_patience_s = FIRST_TRIAL_PATIENCE_S
 
     def _sample(self, slowness: float | None, rejection: float | None, now: float) -> None:
         known_slowness = self._decay_slowness(now)
--- a/libs/sending/src/zinnia_sending/shards.py
+++ b/libs/sending/src/zinnia_sending/shards.py
@@ -37,6 +37,8 @@
     ExchangeResult.FAILED: SendReason.RETRY_FAILED,
     ExchangeResult.BROKEN: SendReason.RETRY_BROKEN,
 }
+# Results that show that the replica has read the request.
+READ_RESULTS = frozenset((ExchangeResult.ANSWERED, ExchangeResult.FAILED, ExchangeResult.NOT_RUN))
 # Results that show that the request did not reach the chosen replica.
 UNDELIVERED_RESULTS = frozenset((ExchangeResult.NOT_SENT, ExchangeResult.WRONG_REPLICA))
 
@@ -101,6 +103,7 @@
         """Handle the end of an attempt: accept its answer, retry, or settle the shard."""
         shard = attempt.shard
         shard.in_flight.remove(attempt)
+        self._record_reading(attempt, exchange)
         if self._is_sealed or shard.is_settled:
             return
         if exchange.result is not ExchangeResult.ANSWERED or attempt.reason is not SendReason.FIRST:
@@ -119,6 +122,16 @@
             self._settle_if_idle(shard)
         self._probe_held()
 
+    def _record_reading(self, attempt: Attempt, exchange: Exchange) -> None:
+        """Tell the budget what the end of an attempt says about when sends arrive."""
+        shard, replica = attempt.shard, attempt.replica.id
+        now = trio.current_time()
+        if exchange.result in READ_RESULTS or exchange.is_unanswered:
+            self._budget.record_read(shard.service, replica, attempt.started_at, now)
+        elif exchange.result is ExchangeResult.CANCELLED and shard.spent_at:
+            spent_at = shard.spent_at.pop()
+            self._budget.record_unread(shard.service, replica, attempt.started_at, spent_at, now)
+
     def _settle_if_idle(self, shard: ShardProgress) -> None:
         """Settle a shard without an answer that gets no more attempts."""
         if not shard.in_flight and shard.wanted is None and not shard.is_held:
@@ -213,6 +226,7 @@
             return True
         if is_extra:
             self._budget.spend(shard.service, now)
+            shard.spent_at.append(now)
         self._note("sent", service=shard.service, replica=replica.id, reason=reason.value)
         self._send(shard, replica, reason, now)
         return True
--- a/libs/sending/tests/fakes.py
+++ b/libs/sending/tests/fakes.py
@@ -138,7 +138,8 @@
         self.sender = None
         self.took_s = 0.0
 
-    async def run(self, route, services, target_s=0.1, limit_s=1.0):
+    async def run(self, route, services, target_s=0.1, limit_s=1.0, linger_s=0.0):
+        """Run a request; attempts that it has abandoned go on for ``linger_s`` seconds."""
         async with trio.open_nursery() as nursery:
             self.sender = FakeSender(nursery, self.script)
             now = trio.current_time()
@@ -156,5 +157,6 @@
             run = RequestRun(request, self.fleet, self.budget, self.sender, self.delegator)
             outcome = await run.run()
             self.took_s = trio.current_time() - now
+            await trio.sleep(linger_s)
             nursery.cancel_scope.cancel()
         return outcome
--- a/libs/sending/tests/test_budgets.py
+++ b/libs/sending/tests/test_budgets.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from zinnia_sending.budgets import RetryBounds, RetryBudget
+from zinnia_sending.budgets import MAX_UNREAD_S, RetryBounds, RetryBudget
 from zinnia_sending.rates import TokenBucket
 
 SLACK = 52.0
@@ -93,6 +93,81 @@
         self.assertLessEqual(VMS * sends, SLACK)
         self.assertTrue(try_spend(budget, "s", 3.0 + WINDOW_S))
 
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["request", "request", "retry", "unread", "go on"]),
+                st.floats(0, 1.0),
+            ),
+            max_size=300,
+        )
+    )
+    def test_sends_that_arrive_together_later_stay_within_the_limit(self, sequence):
+        """Load pattern: a replica stands still for a time again and again, while others shed.
+
+        Guards against sends that were paid for long ago and arrive when the replica goes on.
+        """
+        budget = make_budget(RetryBounds(RATIO, SLACK, WINDOW_S), 1 / VMS)
+        now = 0.0
+        requests, unread, extra = [], [], []
+        for event, gap_s in sequence:
+            now += gap_s
+            if event == "request":
+                budget.count_request("s", now)
+                requests.append(now)
+            elif event == "go on":
+                extra += [now for sent_at in unread if sent_at > now - MAX_UNREAD_S]
+                unread = []
+                budget.record_read("s", "r", now, now)
+            elif try_spend(budget, "s", now) and event == "retry":
+                extra.append(now)
+            elif event == "unread" and budget.measure_use("s", now).extra_sends > len(unread):
+                budget.record_unread("s", "r", now, now, now)
+                unread.append(now)
+        for end in extra:
+            within = [
+                sum(end - WINDOW_S <= at <= end for at in times) for times in (extra, requests)
+            ]
+            self.assertLessEqual(VMS * within[0], SLACK + RATIO * VMS * within[1])
+
+    def test_sends_of_forty_seconds_that_arrive_at_once_stay_within_the_limit(self):
+        """Load pattern: a replica stands still for 40 s while each VM sends all that it may.
+
+        Guards against four windows of extra sends that arrive in one.
+        """
+        budget = make_budget(RetryBounds(RATIO, SLACK, WINDOW_S), 1 / VMS)
+        unread = 0
+        for step in range(400):
+            now = step * 0.1
+            budget.count_request("s", now)
+            if try_spend(budget, "s", now):
+                budget.record_unread("s", "r", now, now, now)
+                unread += 1
+        self.assertLessEqual(VMS * unread, SLACK + RATIO * VMS * WINDOW_S / 0.1)
+        budget.record_read("s", "r", now, now)
+        self.assertFalse(try_spend(budget, "s", now + 1.0))
+        self.assertTrue(try_spend(budget, "s", now + WINDOW_S))
+
+    def test_unread_send_counts_once_until_a_window_after_it_was_read(self):
+        """Guards against hedges that a slow replica uses up, as they count twice."""
+        budget = make_budget(RetryBounds(0.0, SLACK, WINDOW_S), 1 / VMS)
+        budget.spend("s", 1.0)
+        budget.record_unread("s", "r", 0.9, 1.0, 1.4)
+        self.assertEqual(1, budget.measure_use("s", 30.0).extra_sends)
+        budget.record_read("s", "other", 30.0, 30.0)
+        budget.record_read("s", "r", 0.8, 30.0)
+        self.assertEqual(1, budget.measure_use("s", 31.0).extra_sends)
+        budget.record_read("s", "r", 30.0, 32.0)
+        self.assertEqual(1, budget.measure_use("s", 32.0 + WINDOW_S - 0.1).extra_sends)
+        self.assertEqual(0, budget.measure_use("s", 32.0 + WINDOW_S).extra_sends)
+
+    def test_replica_that_is_never_back_uses_up_no_budget_for_ever(self):
+        """Guards against callers that lose answers long after a replica was lost."""
+        budget = make_budget(RetryBounds(0.0, SLACK, WINDOW_S), 1 / VMS)
+        budget.spend("s", 1.0)
+        budget.record_unread("s", "r", 0.9, 1.0, 1.4)
+        self.assertEqual(0, budget.measure_use("s", 1.5 + MAX_UNREAD_S).extra_sends)
+
     def test_vms_that_join_at_once_stay_within_the_limit_with_the_others(self):
         """Load pattern: the tier doubles, and the others do not know the new VMs yet.
 
--- a/libs/sending/tests/test_runs.py
+++ b/libs/sending/tests/test_runs.py
@@ -220,6 +220,26 @@
         self.assertEqual(2, retries)
         self.assertEqual({RunVerdict.REJECTED}, verdicts)
 
+    def test_hedge_counts_until_the_replica_that_stood_still_goes_on(self):
+        """Load pattern: a replica stands still for longer than the window, and its requests wait.
+
+        Guards against hedges that are forgotten when what they replaced arrives.
+        """
+
+        async def main():
+            fleet, services = make_shards(1)
+            script = make_scripts(services)
+            script["s0-a"] = [(0.5, make_unanswered(ExchangeResult.CANCELLED))]
+            harness = RunHarness(fleet, script)
+            counts = []
+            for pause_s in (20.0, 1.0, 20.0):
+                await harness.run(make_route(services, ratio=0.5), services, linger_s=pause_s)
+                harness.script["s0-a"] = [FAST_ANSWER]
+                counts.append(harness.budget.measure_use("s0", trio.current_time()).extra_sends)
+            return counts
+
+        self.assertEqual([1, 1, 0], run_trio(main))
+
     def test_retries_of_unsent_requests_are_free(self):
         """Load pattern: replicas accept no connections while the retry budget is spent.
 
