Let a process that has just started use all that its requests add to the retry budget

Cause: without the slack a new process has only 0.8 of the ratio, one send for six requests.

Change: in its first window a process uses the whole ratio in place of the slack. The limit holds: the processes before have used at most 0.8 of the slack, and each request adds its ratio once.

--- a/libs/sending/src/zinnia_sending/budgets.py
+++ b/libs/sending/src/zinnia_sending/budgets.py
@@ -108,8 +108,8 @@
     service can still use its whole share when many answers are lost at once.
 
     An earlier process of this VM may have used up its share of the slack just before it ended. So
-    a process uses none of the slack in its first window, only what its own requests add, unless
-    ``note_new_vm`` says that there was no earlier process.
+    a process uses none of the slack in its first window, unless ``note_new_vm`` says that there was
+    no earlier process. In place of it, it uses all that its own requests add.
 
     A replica that stands still takes bytes without reading them, and what was sent in a long time
     then arrives at once. So an extra send of a request of which no sign shows that it was read
@@ -181,10 +181,12 @@
     def measure_use(self, service: ServiceName, now: float) -> WindowUse:
         """Return what this VM has used of its share in the window that ends now."""
         window = self._advance(service, now)
-        slack = self.bounds.slack * self._get_share(service)
+        slack = USED_BOUND_FRACTION * self.bounds.slack * self._get_share(service)
+        earned = self.bounds.ratio * window.requests
         if now < self._started_at + self.bounds.window_s:
-            slack *= self._first_window_fraction
-        allowed = USED_BOUND_FRACTION * (slack + self.bounds.ratio * window.requests)
+            allowed = self._first_window_fraction * slack + earned
+        else:
+            allowed = slack + USED_BOUND_FRACTION * earned
         extra_sends = len(window.extra_sends) + len(window.unread)
         return WindowUse(window.requests, extra_sends, allowed)
 
