--- a/libs/sending/tests/test_budgets.py
+++ b/libs/sending/tests/test_budgets.py
@@ -27,6 +27,14 @@
 
 
 class RetryBudgetTest(unittest.TestCase):
+    def check_windows(self, extra, requests, vms):
+        """Check each window that ends with an extra send, if ``vms`` VMs do the same."""
+        for end in extra:
+            within = [
+                sum(end - WINDOW_S <= at <= end for at in times) for times in (extra, requests)
+            ]
+            self.assertLessEqual(vms * within[0], SLACK + RATIO * vms * within[1])
+
     @given(
         st.lists(st.tuples(st.booleans(), st.floats(0.0, 2.0)), max_size=300),
         st.sampled_from([6, 20, 50]),
@@ -46,11 +54,7 @@
                 requests.append(now)
             elif try_spend(budget, "s", now):
                 extra.append(now)
-        for end in extra:
-            within = [
-                sum(end - WINDOW_S <= at <= end for at in times) for times in (extra, requests)
-            ]
-            self.assertLessEqual(vms * within[0], SLACK + RATIO * vms * within[1])
+        self.check_windows(extra, requests, vms)
 
     @given(
         st.lists(
@@ -76,11 +80,7 @@
                 requests.append(now)
             elif try_spend(budget, "s", now):
                 extra.append(now)
-        for end in extra:
-            within = [
-                sum(end - WINDOW_S <= at <= end for at in times) for times in (extra, requests)
-            ]
-            self.assertLessEqual(VMS * within[0], SLACK + RATIO * VMS * within[1])
+        self.check_windows(extra, requests, VMS)
 
     def test_process_that_starts_again_has_no_second_share_of_the_slack(self):
         """Guards against one share of the slack for each process of a VM within a window."""
@@ -124,11 +124,7 @@
             elif event == "unread" and budget.measure_use("s", now).extra_sends > len(unread):
                 budget.record_unread("s", "r", now, now, now)
                 unread.append(now)
-        for end in extra:
-            within = [
-                sum(end - WINDOW_S <= at <= end for at in times) for times in (extra, requests)
-            ]
-            self.assertLessEqual(VMS * within[0], SLACK + RATIO * VMS * within[1])
+        self.check_windows(extra, requests, VMS)
 
     def test_sends_of_forty_seconds_that_arrive_at_once_stay_within_the_limit(self):
         """Load pattern: a replica stands still for 40 s while each VM sends all that it may.
