--- a/libs/sending/src/zinnia_sending/dispatcher.py
+++ b/libs/sending/src/zinnia_sending/dispatcher.py
@@ -135,8 +135,7 @@
         """
         health = attempt.replica.health
         if exchange.result is ExchangeResult.CANCELLED:
-            attempt.replica.pool.discard_idle(attempt.started_at)
-            self._record_failure(attempt, "no answer", now)
+            self._record_no_answer(attempt, now)
             health.record_silent_trial(now)
         elif exchange.result in (ExchangeResult.ANSWERED, ExchangeResult.NOT_RUN):
             health.record_return()
@@ -162,11 +161,14 @@
             return  # It was not given the time to answer.
         is_silent = health.record_silence()
         if exchange.duration_s >= max(MIN_NO_ANSWER_S, NO_ANSWER_TAIL_FACTOR * latency.tail_s):
-            attempt.replica.pool.discard_idle(attempt.started_at)
-            self._record_failure(attempt, "no answer", now)
+            self._record_no_answer(attempt, now)
         elif is_silent:
             self._count_failure(attempt.replica, "no answer in several requests", now)
 
+    def _record_no_answer(self, attempt: Attempt, now: float) -> None:
+        attempt.replica.pool.discard_idle(attempt.started_at)
+        self._record_failure(attempt, "no answer", now)
+
     def _record_failure(self, attempt: Attempt, cause: str, now: float) -> None:
         replica = attempt.replica
         if replica.availability.find_refusal(now) is not None:
